--- a/crates/sassafrasproxy-cli/tests/support/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A system of separate node processes around stand-ins.
 
-#![allow(dead_code, reason = "each test file uses its part")]
+#![allow(dead_code, clippy::unwrap_used, reason = "each test file uses its part")]
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/sassafrasproxy-core/src/lane/message.rs
+++ b/crates/sassafrasproxy-core/src/lane/message.rs
@@ -53,6 +53,8 @@
     pub extra_cap: f64,
     /// The quantile of a shard's latencies after which a hedge starts.
     pub hedge_quantile: f64,
+    /// What cannot end in time is not sent: its run is taken to last this quantile.
+    pub run_quantile: f64,
     /// The least time between two steps of a cold replica's limit.
     pub ramp_step_us: u64,
     /// A latency this many times the replica's norm is slow.
@@ -82,6 +84,7 @@
             extra_fraction: 0.05,
             extra_cap: 10.0,
             hedge_quantile: 0.95,
+            run_quantile: 0.9,
             ramp_step_us: 200_000,
             slow_factor: 5.0,
             silence_factor: 8,
--- a/crates/sassafrasproxy-core/src/lane/mod.rs
+++ b/crates/sassafrasproxy-core/src/lane/mod.rs
@@ -25,6 +25,10 @@
 /// How often a sub-request may be shed or turned away before the home gives up on it.
 const MAX_SENDS: u32 = 4;
 
+/// The part of the time left after which a replica that never answered counts as silent: one part
+/// in this many.
+const UNKNOWN_SILENCE_PART: u64 = 3;
+
 /// All that a home decides for one replica group.
 ///
 /// Every [`LaneEffect::Send`] is answered by exactly one [`LaneEvent::Finished`] or
@@ -239,13 +243,20 @@
     /// How long a new sub-request will wait and run, by what was seen lately.
     fn queue_wait_us(&self, sub: &Sub) -> u64 {
         let Some(median_us) = self.quantile_us(&sub.shard, 0.5) else { return 0 };
+        let run_us = self.run_us(&sub.shard);
         let usable = self.replicas.values().filter(|replica| replica.is_usable());
         let limit: u64 = usable.map(|replica| u64::from(replica.limit)).sum();
         if limit == 0 {
             return 0;
         }
-        let ahead = self.queue.len() as u64 / limit;
-        (ahead + 1) * median_us
+        // The sends that run now are half done on average.
+        let ahead = self.queue.len() as u64 + self.attempts.len() as u64 / 2;
+        ahead * median_us / limit + run_us
+    }
+
+    /// How long a send to a shard may well take, by what was seen lately.
+    fn run_us(&self, shard: &EcoString) -> u64 {
+        self.quantile_us(shard, self.configuration.policy.run_quantile).unwrap_or(0)
     }
 
     /// Ends one send.
@@ -598,8 +609,11 @@
             return None;
         }
         let policy = &self.configuration.policy;
-        let norm_us = replica.norm_us().unwrap_or(0);
-        let bound_us = (norm_us * policy.silence_factor).max(policy.least_silence_us);
+        let bound_us = match replica.norm_us() {
+            Some(norm_us) => norm_us * policy.silence_factor,
+            None => (attempt.deadline_us - attempt.started_us) / UNKNOWN_SILENCE_PART,
+        };
+        let bound_us = bound_us.max(policy.least_silence_us);
         Some(attempt.started_us + bound_us)
     }
 
@@ -625,8 +639,7 @@
         if self.must_wait_alone(&state.sub) {
             return Choice::Wait;
         }
-        let median_us = self.quantile_us(&state.sub.shard, 0.5).unwrap_or(0);
-        if now_us + median_us > state.sub.deadline_us {
+        if now_us + self.run_us(&state.sub.shard) > state.sub.deadline_us {
             return Choice::Refuse(Reason::DeadlineExceeded);
         }
         let usable = self.replicas.values().filter(|replica| replica.is_usable());
--- a/crates/sassafrasproxy-node/src/peers.rs
+++ b/crates/sassafrasproxy-node/src/peers.rs
@@ -126,9 +126,10 @@
             if !is_quiet || connection.is_pinging.swap(true, Ordering::Relaxed) {
                 continue;
             }
+            // The one who pings may be dropped meanwhile; the next must still be able to.
+            let _pinging = Pinging(connection);
             let ping = call::<_, ()>(&connection.client, PING_METHOD, &());
             let is_heard = matches!(tokio::time::timeout(PING_TIMEOUT, ping).await, Ok(Ok(())));
-            connection.is_pinging.store(false, Ordering::Relaxed);
             if !is_heard {
                 connection.is_condemned.store(true, Ordering::Relaxed);
                 return;
@@ -273,6 +274,15 @@
     }
 }
 
+/// Marks a connection as being pinged while it lives.
+struct Pinging<'a>(&'a Connection);
+
+impl Drop for Pinging<'_> {
+    fn drop(&mut self) {
+        self.0.is_pinging.store(false, Ordering::Relaxed);
+    }
+}
+
 impl Connection {
     fn is_usable(&self) -> bool {
         self.client.is_connected() && !self.is_condemned.load(Ordering::Relaxed)
--- a/crates/sassafrasproxy-node/src/query.rs
+++ b/crates/sassafrasproxy-node/src/query.rs
@@ -17,6 +17,15 @@
 use crate::shared::Shared;
 use crate::upstreams::remaining_ms;
 
+/// The part of the time left that is kept back for a home's reply: one part in this many.
+const REPLY_MARGIN_PART: u64 = 32;
+
+/// The least time kept back for a home's reply, in microseconds.
+const LEAST_REPLY_MARGIN_US: u64 = 2_000;
+
+/// How much later than its own deadline a home's answer may come.
+const HOME_GRACE: Duration = Duration::from_millis(10);
+
 /// What a caller asked, checked.
 #[derive(Debug, Clone)]
 pub struct QueryJob {
@@ -153,7 +162,7 @@
             shard,
             snapshot,
             kind: self.job.kind.clone(),
-            deadline_ms: remaining_ms(self.job.spec.soft_deadline_us, now_us),
+            deadline_ms: home_deadline_ms(self.job.spec.soft_deadline_us, now_us),
             fallback: is_fallback,
             forwarded: false,
             body: self.job.body.clone(),
@@ -194,6 +203,14 @@
     }
 }
 
+/// The time that a home may take: less than remains here, so that even its refusal at the last
+/// moment, which may prove that nothing ran, comes in time.
+fn home_deadline_ms(soft_deadline_us: u64, now_us: u64) -> u64 {
+    let left_us = soft_deadline_us.saturating_sub(now_us);
+    let margin_us = (left_us / REPLY_MARGIN_PART).max(LEAST_REPLY_MARGIN_US);
+    remaining_ms(left_us, margin_us)
+}
+
 /// Asks a peer; tells it when the ask is given up.
 async fn ask_peer(
     shared: &Arc<Shared>,
@@ -202,20 +219,32 @@
     request: SubRequest,
 ) -> AskAnswer {
     let mut guard = CancelGuard { shared, address: &address, request: &request, is_open: true };
-    let timeout = Duration::from_millis(request.deadline_ms);
+    // The home answers by its own, earlier deadline; this one is for a home that does not.
+    let timeout = Duration::from_millis(request.deadline_ms) + HOME_GRACE;
     let answer = shared.peers.sub_request(&address, &request, timeout).await;
     guard.is_open = matches!(answer, Err(PeerError::TimedOut));
     drop(guard);
-    let may_have_arrived = match answer {
+    let error = match answer {
         Ok(reply) => return AskAnswer::Replied(reply),
-        Err(PeerError::Unreachable) => false,
-        Err(PeerError::Lost | PeerError::TimedOut | PeerError::Refused) => true,
+        // A late answer says nothing of the connection, which other asks go on to use.
+        Err(PeerError::TimedOut) => return AskAnswer::Replied(overdue()),
+        Err(error) => error,
     };
-    shared.tell(ControlEvent::PeerFailed { node });
+    let may_have_arrived = error != PeerError::Unreachable;
     let is_alive = may_have_arrived && shared.peers.is_alive(&address).await;
+    let kind =
+        EventKind::PeerFailed { peer: node.clone(), error: eco_format!("{error}"), is_alive };
+    shared.events.note(Some(request.request_id.clone()), kind);
+    shared.tell(ControlEvent::PeerFailed { node });
     AskAnswer::Unreachable { may_have_arrived, is_alive }
 }
 
+/// The answer in place of one that did not come in time.
+fn overdue() -> SubReply {
+    let outcome = SubOutcome::Unknown { reason: Reason::DeadlineExceeded };
+    SubReply { outcome, holdings: None, body: None }
+}
+
 /// Tells a peer that nobody waits for an ask any more, when the ask is dropped.
 struct CancelGuard<'a> {
     shared: &'a Arc<Shared>,
--- a/crates/sassafrasproxy-standin/src/load.rs
+++ b/crates/sassafrasproxy-standin/src/load.rs
@@ -18,6 +18,9 @@
 
 use crate::Fleet;
 
+/// The longest latency told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 120_000_000;
+
 /// What load to offer.
 #[derive(Debug, Clone)]
 pub struct LoadPlan {
@@ -137,7 +140,8 @@
             thin: 0,
             refused: IndexMap::new(),
             failed: 0,
-            latency_us: Histogram::new(3).expect("three digits are valid"),
+            latency_us: Histogram::new_with_bounds(1, MAX_LATENCY_US, 3)
+                .expect("the bounds are constants that are valid"),
             shards_asked: 0,
             upstream_runs: 0,
             most_in_flight: IndexMap::new(),
--- a/crates/sassafrasproxy-standin/src/upstream.rs
+++ b/crates/sassafrasproxy-standin/src/upstream.rs
@@ -182,7 +182,7 @@
     snapshots: Vec<HeldSnapshot>,
     crash_on: Option<EcoString>,
     runs: IndexMap<EcoString, Run>,
-    cancels: IndexMap<EcoString, CancellationToken>,
+    cancels: IndexMap<EcoString, Cancel>,
     silences: Vec<Arc<AtomicBool>>,
     deaths: u32,
     service_ms: Vec<f32>,
@@ -351,7 +351,7 @@
     match (request.method().clone(), path.as_str()) {
         (Method::POST, "/query") => query(shared, request).await,
         (Method::GET, "/status") => shared.status(),
-        (Method::DELETE, path) => shared.cancel(path.trim_start_matches("/query/")),
+        (Method::DELETE, path) => shared.cancel(path.trim_start_matches("/query/")).await,
         _ => plain(StatusCode::NOT_FOUND),
     }
 }
@@ -375,9 +375,10 @@
     let end = tokio::select! {
         () = tokio::time::sleep(ms(service_ms)) => RunEnd::Answered,
         () = tokio::time::sleep(Duration::from_millis(deadline_ms)) => RunEnd::Overdue,
-        () = cancel.cancelled() => RunEnd::Cancelled,
+        () = cancel.wanted.cancelled() => RunEnd::Cancelled,
     };
     drop(slot);
+    cancel.done.cancel();
     shared.end(&id, end);
     if end != RunEnd::Answered {
         return plain(StatusCode::GATEWAY_TIMEOUT);
@@ -447,14 +448,9 @@
     }
 
     /// Notes that a request runs and draws how long it takes; it may kill the process.
-    fn begin(
-        &self,
-        id: &EcoString,
-        snapshot: SnapshotId,
-        query: &UpstreamQuery,
-    ) -> (f64, CancellationToken) {
+    fn begin(&self, id: &EcoString, snapshot: SnapshotId, query: &UpstreamQuery) -> (f64, Cancel) {
         let mut state = self.lock();
-        let cancel = CancellationToken::new();
+        let cancel = Cancel::default();
         let body: EcoString = query.body.get().into();
         let is_deadly = state.crash_on.as_ref().is_some_and(|text| body.contains(text.as_str()));
         let run = Run {
@@ -522,9 +518,12 @@
         Response::new(Full::from(serde_json::to_vec(&status).unwrap_or_default()))
     }
 
-    fn cancel(&self, id: &str) -> Answer {
-        if let Some(cancel) = self.lock().cancels.swap_remove(id) {
-            cancel.cancel();
+    /// Cancels a request and confirms it once its slot is free.
+    async fn cancel(&self, id: &str) -> Answer {
+        let cancel = self.lock().cancels.get(id).cloned();
+        if let Some(cancel) = cancel {
+            cancel.wanted.cancel();
+            cancel.done.cancelled().await;
         }
         plain(StatusCode::OK)
     }
@@ -569,6 +568,14 @@
     }
 }
 
+/// How a running request is cancelled.
+#[derive(Debug, Clone, Default)]
+struct Cancel {
+    wanted: CancellationToken,
+    /// When its slot is free again.
+    done: CancellationToken,
+}
+
 /// A place in a counter, given back when dropped.
 struct Count {
     shared: Arc<Shared>,
--- a/crates/sassafrasproxy-wire/src/timeline.rs
+++ b/crates/sassafrasproxy-wire/src/timeline.rs
@@ -70,6 +70,15 @@
         /// Its new state.
         state: MemberState,
     },
+    /// A sub-request to a peer got no answer.
+    PeerFailed {
+        /// The peer.
+        peer: EcoString,
+        /// How it failed.
+        error: EcoString,
+        /// Whether the peer answers over a new connection.
+        is_alive: bool,
+    },
     /// A configuration came into force.
     RevisionInForce {
         /// The revision.
