--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/in_force.rs
@@ -0,0 +1,135 @@
+//! Configurations and homes over many nodes.
+
+mod cluster;
+
+use cluster::{Cluster, MS, services};
+use indexmap::IndexMap;
+use sassafrasproxy_core::{ControlEvent, ControlPolicy};
+
+/// How long until every node that is up has the store's revision, in milliseconds.
+fn settle_ms(cluster: &mut Cluster, limit_ms: u64) -> u64 {
+    let start_us = cluster.now_us;
+    while cluster.now_us < start_us + limit_ms * MS {
+        cluster.run(10 * MS);
+        let wanted = cluster.store.revision;
+        let has =
+            |(node, is_up): (usize, &bool)| !is_up || cluster.nodes[node].revision() == wanted;
+        if cluster.is_up.iter().enumerate().all(has) {
+            return (cluster.now_us - start_us) / MS;
+        }
+    }
+    panic!("not in force everywhere after {limit_ms} ms");
+}
+
+#[test]
+fn eight_nodes() {
+    let mut cluster = Cluster::start(8, 4, ControlPolicy::default());
+    cluster.run(3_000 * MS);
+    cluster.publish(|configuration| configuration.services = services(50, 4));
+    assert!(settle_ms(&mut cluster, 2_000) < 2_000);
+    let homes: IndexMap<_, _> = (*cluster.view(0).homes).clone();
+    for node in 1..8 {
+        assert_eq!(*cluster.view(node).homes, homes, "all agree on the homes");
+    }
+}
+
+// Operators take a failure domain out: in every view its nodes are no homes any more.
+#[test]
+fn domain_out() {
+    let mut cluster = Cluster::start(8, 4, ControlPolicy::default());
+    cluster.run(3_000 * MS);
+    cluster.publish(|configuration| configuration.services = services(50, 4));
+    settle_ms(&mut cluster, 2_000);
+    cluster.publish(|configuration| {
+        configuration.domains_out.insert("domain-1".into());
+    });
+    assert!(settle_ms(&mut cluster, 2_000) < 2_000);
+    for node in 0..8 {
+        let view = cluster.view(node);
+        let is_out = |home: &ecow::EcoString| view.members[home].failure_domain == "domain-1";
+        assert!(view.homes.values().all(|ranked| !is_out(&ranked[0])));
+    }
+}
+
+// The store is down when a VM is replaced. The fresh one must boot from its peers.
+#[test]
+fn store_down() {
+    let mut cluster = Cluster::start(8, 4, ControlPolicy::default());
+    cluster.publish(|configuration| configuration.services = services(10, 4));
+    settle_ms(&mut cluster, 5_000);
+    cluster.is_store_up = false;
+    cluster.is_up[5] = false;
+    cluster.run(5_000 * MS);
+    cluster.join(5, 4);
+    assert!(settle_ms(&mut cluster, 5_000) < 5_000);
+}
+
+// A slow read of the store, or a peer that lags, brings an old configuration after a newer one.
+// Taking it would bring a failure domain back that operators took out.
+#[test]
+fn old_revision() {
+    let mut cluster = Cluster::start(2, 2, ControlPolicy::default());
+    cluster.publish(|configuration| configuration.services = services(3, 2));
+    let old = cluster.store.clone();
+    settle_ms(&mut cluster, 5_000);
+    cluster.publish(|configuration| {
+        configuration.domains_out.insert("domain-1".into());
+    });
+    settle_ms(&mut cluster, 5_000);
+    let effects = cluster.nodes[0].step(cluster.now_us, ControlEvent::ConfigurationSeen(old));
+    assert!(effects.is_empty());
+    assert_eq!(cluster.nodes[0].revision(), 2);
+}
+
+#[test]
+fn rejected_revision() {
+    let mut cluster = Cluster::start(1, 1, ControlPolicy::default());
+    cluster.publish(|configuration| configuration.services = services(3, 1));
+    settle_ms(&mut cluster, 5_000);
+    let rejected = |revision| ControlEvent::ConfigurationRejected { revision, detail: "x".into() };
+    let node = &mut cluster.nodes[0];
+    assert_eq!(node.step(cluster.now_us, rejected(2)).len(), 1, "said loudly, once");
+    assert!(node.step(cluster.now_us, rejected(2)).is_empty());
+    assert_eq!((node.revision(), node.rejected().map(|one| one.0)), (1, Some(2)));
+}
+
+// Nodes that are cut off from their domain's watchers and hear late must never go back: the
+// cluster asserts that at every step while revisions race through it.
+#[test]
+fn many_revisions() {
+    let mut cluster = Cluster::start(8, 4, ControlPolicy::default());
+    cluster.run(2_000 * MS);
+    for round in 0..40 {
+        cluster.publish(|configuration| {
+            configuration.services = services(1 + round % 5, 4);
+        });
+        if round % 7 == 3 {
+            cluster.split(&[round % 8], &[0, 1, 2, 3, 4, 5, 6, 7]);
+        }
+        cluster.run((round as u64 * 37 % 300) * MS);
+        if round % 7 == 6 {
+            cluster.cuts.clear();
+        }
+    }
+    cluster.cuts.clear();
+    settle_ms(&mut cluster, 10_000);
+    for adopted in &cluster.adopted {
+        assert!(adopted.is_sorted_by(|a, b| a.0 < b.0), "one order everywhere");
+    }
+}
+
+// A fresh node joins: only the groups that it is now the home of move, about one in nine.
+#[test]
+fn few_moves() {
+    let mut cluster = Cluster::start(8, 1, ControlPolicy::default());
+    cluster.publish(|configuration| configuration.services = services(400, 1));
+    cluster.run(5_000 * MS);
+    let before = (*cluster.view(0).homes).clone();
+    cluster.join(8, 1);
+    cluster.run(5_000 * MS);
+    let after = (*cluster.view(0).homes).clone();
+    let moved: Vec<_> =
+        before.iter().filter(|(group, ranked)| after[*group][0] != ranked[0]).collect();
+    assert!(moved.iter().all(|(group, _)| after[*group][0] == cluster::name(8)));
+    assert!((20..80).contains(&moved.len()), "{} of 400 moved", moved.len());
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/snapshots.rs
@@ -0,0 +1,252 @@
+//! Which snapshot a query pins, and what it says it covers.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::sync::Arc;
+
+use ecow::EcoString;
+use indexmap::{IndexMap, IndexSet};
+use sassafrasproxy_core::{
+    AskToken, GroupTable, Query, QueryEffect, QueryEnd, QueryEvent, QueryPlan, QuerySpec, View,
+};
+use sassafrasproxy_wire::{
+    Configuration, GroupHoldings, Hlc, Limits, Outcome, Reason, ServiceSpec, SnapshotHolding,
+    SubOutcome, UpstreamSpec,
+};
+
+/// What a test says of one group: its snapshots with layout and servable shards.
+type Held = &'static [(u64, &'static [&'static str], &'static [&'static str])];
+
+fn names(names: &[&str]) -> Vec<EcoString> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+/// A view with one service for each entry, whose one group is `service/s0`.
+fn view(services: &[(&str, Held)]) -> View {
+    let mut configuration = Configuration { revision: 1, ..Configuration::default() };
+    let mut holdings = IndexMap::new();
+    let mut homes: IndexMap<EcoString, Vec<EcoString>> = IndexMap::new();
+    for (number, (service, held)) in services.iter().enumerate() {
+        let upstream = UpstreamSpec {
+            address: ecow::eco_format!("127.0.0.1:{}", 7100 + number),
+            failure_domain: "galway-1".into(),
+            shards: names(&["s0", "s1", "s2", "s3", "s4", "s5"]),
+        };
+        let spec = ServiceSpec {
+            service: (*service).into(),
+            index: "catalogue".into(),
+            failure_domains: names(&["galway-1"]),
+            upstreams: vec![upstream],
+            limits: Limits { slots: 2, connections: 25, queue: 64 },
+            deadline_ms: 90,
+            kinds: IndexMap::new(),
+        };
+        configuration.services.insert(spec.service.clone(), spec);
+        let group: EcoString = ecow::eco_format!("{service}/s0");
+        let snapshots = held.iter().map(|(id, layout, servable)| SnapshotHolding {
+            id: *id,
+            layout: names(layout),
+            servable: names(servable),
+        });
+        let made_at = Hlc::default();
+        let holding =
+            GroupHoldings { group: group.clone(), made_at, snapshots: snapshots.collect() };
+        holdings.insert(group.clone(), holding);
+        homes.insert(group, names(&["vm-1", "vm-2"]));
+    }
+    View {
+        groups: Arc::new(GroupTable::new(&configuration)),
+        configuration: Arc::new(configuration),
+        holdings: Arc::new(holdings),
+        homes: Arc::new(homes),
+        ..View::default()
+    }
+}
+
+fn plan(services: &[(&'static str, Held)]) -> Option<QueryPlan> {
+    let asked: Vec<EcoString> = services.iter().map(|(service, _)| (*service).into()).collect();
+    QueryPlan::new(&view(services), &asked, &IndexSet::new())
+}
+
+#[test]
+fn choices() {
+    let cases: [(&str, &[(&str, Held)], u64, f64); 5] = [
+        ("newest", &[("a", &[(7, &["s0"], &["s0"]), (8, &["s0"], &["s0"])])], 8, 1.0),
+        (
+            "newest that all serve",
+            &[
+                ("a", &[(7, &["s0"], &["s0"]), (8, &["s0"], &["s0"])]),
+                ("b", &[(7, &["s0"], &["s0"])]),
+            ],
+            7,
+            1.0,
+        ),
+        (
+            "half rolled",
+            &[("a", &[(7, &["s0", "s1"], &["s0", "s1"]), (8, &["s0", "s1"], &["s0"])])],
+            7,
+            1.0,
+        ),
+        (
+            "most, if none serves all",
+            &[
+                ("a", &[(7, &["s0", "s1", "s2"], &["s0", "s1"]), (8, &["s0", "s1"], &["s0"])]),
+                ("b", &[(8, &["s0"], &["s0"])]),
+            ],
+            8,
+            2.0 / 3.0,
+        ),
+        (
+            "repartition from 4 to 6",
+            &[(
+                "a",
+                &[
+                    (7, &["s0", "s1", "s2", "s3"], &["s0", "s1", "s2", "s3"]),
+                    (8, &["s0", "s1", "s2", "s3", "s4", "s5"], &["s0", "s1", "s2", "s3", "s4"]),
+                ],
+            )],
+            7,
+            1.0,
+        ),
+    ];
+    for (name, services, snapshot, fraction) in cases {
+        let plan = plan(services).unwrap();
+        assert_eq!((plan.snapshot, plan.fraction()), (snapshot, fraction), "{name}");
+    }
+    assert_eq!(plan(&[("a", &[])]), None, "nothing known");
+}
+
+/// Runs a query whose asks are answered by a function of shard and snapshot.
+fn run(
+    view: &View,
+    services: &[&str],
+    is_idempotent: bool,
+    mut answer: impl FnMut(&str, u64) -> SubOutcome,
+) -> QueryEnd {
+    let spec = QuerySpec {
+        services: names(services),
+        is_idempotent,
+        min_coverage: 0.0,
+        soft_deadline_us: 90_000,
+    };
+    let mut query = Query::new(spec);
+    let mut effects = query.step(0, QueryEvent::Start, view);
+    let mut abandoned: IndexSet<AskToken> = IndexSet::new();
+    while !effects.is_empty() {
+        match effects.remove(0) {
+            QueryEffect::Ask { token, shard, snapshot, .. } if !abandoned.contains(&token) => {
+                let outcome = answer(&shard.to_string(), snapshot);
+                effects.extend(query.step(1, QueryEvent::Replied { token, outcome }, view));
+            }
+            QueryEffect::Abandon { token } => drop(abandoned.insert(token)),
+            QueryEffect::Finish(end) => return end,
+            QueryEffect::Ask { .. } | QueryEffect::Note(_) => {}
+        }
+    }
+    panic!("the query ends once every ask is answered");
+}
+
+const ROLLING: Held = &[(7, &["s0", "s1"], &["s0", "s1"]), (8, &["s0", "s1"], &["s0", "s1"])];
+
+// Index versions change under queries. A replica drops snapshot 8 after the query pinned it; a
+// user must get one snapshot's whole answer, never a mix of two.
+#[test]
+fn restart() {
+    let view = view(&[("a", ROLLING)]);
+    let not_held = SubOutcome::NotRun { reason: Reason::NotHeld, retry_after_ms: 0 };
+    let end = run(&view, &["a"], true, |shard, snapshot| {
+        if (shard, snapshot) == ("a/s1", 8) { not_held } else { SubOutcome::Answered }
+    });
+    assert_eq!((end.outcome, end.snapshot), (Outcome::Answered, Some(7)));
+    assert_eq!(end.coverage.fraction, 1.0);
+}
+
+#[test]
+fn no_way_out() {
+    let view = view(&[("a", ROLLING)]);
+    let not_held = SubOutcome::NotRun { reason: Reason::NotHeld, retry_after_ms: 0 };
+    let end =
+        run(
+            &view,
+            &["a"],
+            true,
+            |shard, _| {
+                if shard == "a/s1" { not_held } else { SubOutcome::Answered }
+            },
+        );
+    assert_eq!(end.coverage.fraction, 0.5);
+    assert_eq!(end.coverage.missing[0].shard.to_string(), "a/s1");
+}
+
+#[test]
+fn true_outcomes() {
+    let shed = SubOutcome::NotRun { reason: Reason::Shed, retry_after_ms: 50 };
+    let lost = SubOutcome::Unknown { reason: Reason::ConnectionLost };
+    let yes = SubOutcome::Answered;
+    let cases = [
+        ("all answered", false, [yes, yes], Outcome::Answered),
+        ("none ran", false, [shed, shed], Outcome::NotRun),
+        ("one may have run", false, [shed, lost], Outcome::Unknown),
+        ("one ran", false, [yes, shed], Outcome::Partial),
+        ("search with a gap", true, [yes, lost], Outcome::Answered),
+        ("search without any", true, [lost, shed], Outcome::Unknown),
+    ];
+    for (name, is_idempotent, outcomes, expected) in cases {
+        let view = view(&[("a", &[(7, &["s0", "s1"], &["s0", "s1"])])]);
+        let end = run(&view, &["a"], is_idempotent, |shard, _| {
+            if shard == "a/s0" { outcomes[0] } else { outcomes[1] }
+        });
+        assert_eq!(end.outcome, expected, "{name}");
+    }
+}
+
+// The home of a shard dies while it runs a reorder. Asking the next node would print the order
+// twice; a search may be asked again.
+#[test]
+fn dead_home() {
+    for (is_idempotent, expected) in [(false, Outcome::Unknown), (true, Outcome::Answered)] {
+        let view = view(&[("a", &[(7, &["s0"], &["s0"])])]);
+        let spec = QuerySpec {
+            services: names(&["a"]),
+            is_idempotent,
+            min_coverage: 0.0,
+            soft_deadline_us: 90_000,
+        };
+        let mut query = Query::new(spec);
+        let first = query.step(0, QueryEvent::Start, &view);
+        let QueryEffect::Ask { token, node, .. } = &first[0] else { panic!("{first:?}") };
+        assert_eq!(node, "vm-1");
+        let event =
+            QueryEvent::Unreachable { token: *token, may_have_arrived: true, is_alive: false };
+        let mut effects = query.step(1, event, &view);
+        if let QueryEffect::Ask { token, node, is_fallback, .. } = effects[0].clone() {
+            assert_eq!((node.as_str(), is_fallback), ("vm-2", true));
+            let outcome = SubOutcome::Answered;
+            effects = query.step(2, QueryEvent::Replied { token, outcome }, &view);
+        }
+        let Some(QueryEffect::Finish(end)) = effects.last() else { panic!("{effects:?}") };
+        assert_eq!(end.outcome, expected);
+    }
+}
+
+// A caller's deadline comes while a shard is open. The answer must go out before it, with that
+// shard named as missing.
+#[test]
+fn soft_deadline() {
+    let view = view(&[("a", &[(7, &["s0", "s1"], &["s0", "s1"])])]);
+    let spec = QuerySpec {
+        services: names(&["a"]),
+        is_idempotent: true,
+        min_coverage: 0.0,
+        soft_deadline_us: 90_000,
+    };
+    let mut query = Query::new(spec);
+    let effects = query.step(0, QueryEvent::Start, &view);
+    let QueryEffect::Ask { token, .. } = effects[0] else { panic!("{effects:?}") };
+    query.step(1, QueryEvent::Replied { token, outcome: SubOutcome::Answered }, &view);
+    assert!(query.step(89_999, QueryEvent::Timer, &view).is_empty());
+    let effects = query.step(90_000, QueryEvent::Timer, &view);
+    let Some(QueryEffect::Finish(end)) = effects.last() else { panic!("{effects:?}") };
+    assert_eq!((end.outcome, end.coverage.fraction), (Outcome::Answered, 0.5));
+    assert_eq!(end.coverage.missing[0].reason, Reason::DeadlineExceeded);
+}
