Give slots back as the old home's sends end, and resend past every silent connection

The time line showed the home move at that moment: the new home kept free the slot of the old home's one send until that send's deadline, 900 ms, on the only replica left. And after all open connections went silent, a query whose send and hedge were both silent was not sent a third time, and a resend met the next replica's silent connections. Ruled out: a lost reply (the forwarded ask was found waiting in the new home's queue). Change: the old home tells the new one as each of its last sends ends, numbered so that the order does not matter; silence condemns every replica of the group that has answered nothing since; a sub-request is sent again once all its sends are silent.

--- /dev/null
+++ b/crates/sassafrasproxy-cli/tests/operators.rs
@@ -0,0 +1,143 @@
+//! The operators' commands against a running system.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::path::Path;
+use std::process::Output;
+
+use sassafrasproxy_standin::{Outage, PlatformFaults, run_command};
+use serde_json::Value;
+use support::{System, ask_until_full, binary};
+use tempfile::TempDir;
+
+fn run(words: &[&str]) -> (i32, String, String) {
+    let Output { status, stdout, stderr } = run_command(binary(), words).unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (status.code().unwrap(), text(stdout), text(stderr))
+}
+
+fn json(words: &[&str]) -> (i32, Value) {
+    let (code, output, _) = run(&[words, &["--json"]].concat());
+    (code, serde_json::from_str(output.lines().last().unwrap()).unwrap())
+}
+
+fn write_service(dir: &Path, name: &str, port: u16) {
+    let text = format!(
+        "service: {name}\nindex: catalogue\nfailure_domains: [galway-1]\nupstreams:\n  \
+         - {{ address: \"127.0.1.1:{port}\", failure_domain: galway-1, shards: [s0] }}\n\
+         limits: {{ slots: 2, connections: 25, queue: 64 }}\ndeadline_ms: 90\n\
+         kinds:\n  search: {{ idempotent: true, hedge: true }}\n"
+    );
+    std::fs::write(dir.join(format!("{name}.sassafras.yaml")), text).unwrap();
+}
+
+#[test]
+fn usage() {
+    for words in [&["--help"][..], &["run", "--help"], &["domain", "out", "--help"]] {
+        let (code, output, _) = run(words);
+        assert_eq!(code, 0);
+        assert!(output.contains("Usage:"), "{output}");
+    }
+    assert_eq!(run(&["fly"]).0, 2);
+    assert_eq!(run(&["query"]).0, 2);
+    assert_eq!(run(&["publish", "."]).0, 2, "the platform is not named");
+}
+
+#[test]
+fn wrong_files() {
+    let dir = TempDir::new().unwrap();
+    let settings = dir.path().join("node.yaml");
+    std::fs::write(&settings, "name: vm-1\ncolour: red\n").unwrap();
+    let (code, _, errors) = run(&["run", "--settings", settings.to_str().unwrap()]);
+    assert_eq!(code, 2);
+    assert!(errors.contains("node.yaml:2") && errors.contains("colour"), "{errors}");
+    assert!(errors.contains("hint:"), "{errors}");
+
+    write_service(dir.path(), "art", 7101);
+    let path = dir.path().join("art.sassafras.yaml");
+    let text = std::fs::read_to_string(&path).unwrap().replace("slots: 2", "slots: 0");
+    std::fs::write(path, text).unwrap();
+    let (code, problems) = json(&["check", dir.path().to_str().unwrap()]);
+    assert_eq!((code, problems["problems"][0]["line"].as_u64()), (2, Some(6)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn publishing() {
+    let system = System::start(0).await;
+    let url = system.platform.url();
+    let dir = TempDir::new().unwrap();
+    write_service(dir.path(), "art", 7101);
+    let dir_name = dir.path().to_str().unwrap();
+    assert_eq!(json(&["check", dir_name]).0, 0);
+
+    let stale = ["publish", "--platform", url.as_str(), dir_name, "--expect", "7"];
+    let (code, refused) = json(&stale);
+    assert_eq!((code, refused["reason"].as_str()), (1, Some("conflict")));
+    assert_eq!(refused["published_by"], "test");
+
+    let words = ["publish", "--platform", url.as_str(), dir_name, "--expect", "1"];
+    let (code, done) = json(&words);
+    assert_eq!((code, done["revision"].as_u64()), (0, Some(2)));
+    assert_eq!(done["changes"].as_array().unwrap().len(), 4, "one new, three gone");
+    let (code, unchanged) = json(&["publish", "--platform", url.as_str(), dir_name]);
+    assert_eq!((code, unchanged["outcome"].as_str()), (0, Some("unchanged")));
+    let chunks = system.platform.keys("configuration/chunk/");
+    assert_eq!(chunks.len(), 1, "replaced chunks are removed: {chunks:?}");
+
+    let (code, domains) = json(&["domain", "list", "--platform", url.as_str()]);
+    assert_eq!((code, domains["domains"]["galway-1"].as_str()), (0, Some("in")));
+    assert_eq!(json(&["domain", "out", "galway-9", "--platform", url.as_str()]).0, 1);
+    assert_eq!(json(&["domain", "out", "galway-1", "--platform", url.as_str()]).0, 0);
+    let (_, domains) = json(&["domain", "list", "--platform", url.as_str()]);
+    assert_eq!(domains["domains"]["galway-1"], "out");
+}
+
+// The platform is away while an operator publishes. Telling "refused" after the change took
+// effect, or "done" before it did, would send the operator the wrong way.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_away() {
+    let system = System::start(0).await;
+    let url = system.platform.url();
+    let outage = Some(Outage::Fail);
+    system.platform.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+    let (code, refused) = json(&["domain", "out", "galway-1", "--platform", url.as_str()]);
+    assert_eq!((code, refused["reason"].as_str()), (1, Some("unavailable")));
+    let faults = PlatformFaults { lose_answers: 1, ..PlatformFaults::default() };
+    system.platform.set_faults(faults);
+    let (code, done) = json(&["domain", "out", "galway-1", "--platform", url.as_str()]);
+    assert_eq!((code, done["revision"].as_u64()), (0, Some(2)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn looking_around() {
+    let system = System::start(2).await;
+    let node = system.nodes[0].address();
+    ask_until_full(node, &["art-archive", "counter-desk"]).await;
+    ask_until_full(system.nodes[1].address(), &["counter-desk"]).await;
+    let node = node.to_string();
+    let (code, status) = json(&["status", "--node", &node]);
+    assert_eq!((code, status["revision"].as_u64()), (0, Some(1)));
+    assert_eq!(status["members"].as_array().unwrap().len(), 2);
+    let (code, list) = json(&["addresses", "--node", &node, "--failure-domain", "galway-2"]);
+    assert_eq!(code, 0);
+    assert_eq!(list["addresses"][0]["failure_domain"], "galway-2", "its own domain first");
+    let words = ["query", "art-archive", "--node", &node, "--request-id", "ask-1"];
+    let (code, answer) = json(&words);
+    assert_eq!((code, answer["coverage"]["fraction"].as_f64()), (0, Some(1.0)));
+    let (code, refused) = json(&["query", "nothing", "--node", &node]);
+    assert_eq!((code, refused["reason"].as_str()), (1, Some("unknown_service")));
+    let (code, output, _) = run(&["timeline", "--nodes", &node]);
+    assert_eq!(code, 0);
+    for (event, from) in [("node_started", "vm-1"), ("revision_in_force", "vm-0")] {
+        let is_told = |line: &str| line.contains(event) && line.contains(from);
+        assert!(output.lines().any(is_told), "{event} of {from}");
+    }
+    let (_, output, _) = run(&["timeline", "--nodes", &node, "--request", "ask-1"]);
+    assert_eq!(output.lines().count(), 1, "{output}");
+    assert!(output.contains("query_ended"), "{output}");
+    for words in [&["status", "--node", &node][..], &["addresses", "--node", &node]] {
+        assert_eq!(run(words).0, 0);
+    }
+}
--- a/crates/sassafrasproxy-cli/tests/support/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/support/mod.rs
@@ -9,7 +9,9 @@
 use indexmap::IndexMap;
 use sassafrasproxy_config::Change;
 use sassafrasproxy_node::{PlatformClient, publish};
-use sassafrasproxy_standin::{NodeProcess, PlatformStandIn, ServiceSetup, UpstreamStandIn};
+use sassafrasproxy_standin::{
+    NodeProcess, PlatformStandIn, ServiceSetup, UpstreamStandIn, shard_names,
+};
 use sassafrasproxy_wire::{QueryAnswer, Refusal};
 use serde_json::json;
 
@@ -46,7 +48,10 @@
             let replicas: Vec<UpstreamStandIn> = (0..setup.replicas).map(start).collect();
             let addresses: Vec<SocketAddr> =
                 replicas.iter().map(UpstreamStandIn::address).collect();
-            services.insert(setup.name.clone(), setup.spec(&addresses, &domains));
+            let mut spec = setup.spec(&addresses, &domains);
+            // The replicas may hold more shards than they do at first.
+            spec.upstreams.iter_mut().for_each(|upstream| upstream.shards = shard_names(4));
+            services.insert(setup.name.clone(), spec);
             upstreams.extend(replicas.into_iter().map(|replica| (setup.name.to_string(), replica)));
         }
         let client = PlatformClient::new(platform.url()).unwrap();
--- a/crates/sassafrasproxy-core/src/lane/mod.rs
+++ b/crates/sassafrasproxy-core/src/lane/mod.rs
@@ -37,6 +37,10 @@
 pub struct Lane {
     configuration: LaneConfiguration,
     role: Role,
+    /// This node's name, once it was home.
+    me: EcoString,
+    /// The latest hand-over taken since this node became home.
+    heard_sequence: Option<u64>,
     replicas: IndexMap<EcoString, Replica>,
     /// Sub-requests that wait for a slot, in the order to serve them; all are in `subs`.
     queue: VecDeque<SubKey>,
@@ -58,6 +62,8 @@
     Home { full_from_us: u64 },
     /// Asked only because the home could not be reached: every limit stays at 1.
     Fallback,
+    /// The home until lately; tells the new one as its last sends end. Else like a fallback.
+    Retired { sequence: u64 },
 }
 
 /// A sub-request that is not answered yet.
@@ -115,6 +121,8 @@
         let mut lane = Self {
             configuration,
             role: Role::Fallback,
+            me: EcoString::new(),
+            heard_sequence: None,
             replicas,
             queue: VecDeque::new(),
             subs: IndexMap::new(),
@@ -135,7 +143,10 @@
         match event {
             LaneEvent::Submit(sub) => self.submit(now_us, sub),
             LaneEvent::Finished { attempt, report } => self.finish(now_us, attempt, &report),
-            LaneEvent::Cancelled { attempt } => self.release(attempt).map_or((), drop),
+            LaneEvent::Cancelled { attempt } => {
+                self.release(attempt);
+                self.tell_new_home(now_us);
+            }
             LaneEvent::GiveUp { sub } => self.give_up(sub),
             LaneEvent::Status { replica, probe, report } => {
                 self.note_status(now_us, &replica, probe, &report);
@@ -267,6 +278,7 @@
     /// Ends one send.
     fn finish(&mut self, now_us: u64, id: AttemptId, report: &AttemptReport) {
         let Some(attempt) = self.release(id) else { return };
+        self.tell_new_home(now_us);
         self.note_headers(now_us, &attempt, report);
         match report.result {
             AttemptResult::Answered => self.answered(now_us, id, &attempt),
@@ -476,6 +488,7 @@
             return;
         }
         self.role = Role::Home { full_from_us: now_us + view_skew_us };
+        self.heard_sequence = None;
         for replica in self.replicas.values_mut() {
             if replica.phase == Phase::Serving {
                 replica.turn_cold(now_us, "new_home");
@@ -486,28 +499,52 @@
 
     /// Lets the group go: what waits is sent back to its entry, what runs may end.
     fn lose_home(&mut self, now_us: u64, me: EcoString) {
-        if self.role == Role::Fallback {
+        if !matches!(self.role, Role::Home { .. }) {
             return;
         }
-        self.role = Role::Fallback;
+        self.role = Role::Retired { sequence: 0 };
+        self.me = me;
         for key in std::mem::take(&mut self.queue) {
             let may_have_run = self.subs.get(&key).is_some_and(|state| state.may_have_run);
             self.end(key, SubOutcome::NotHome { may_have_run }, None);
         }
-        let replicas = self.replicas.values().map(|replica| self.hand_over(replica, now_us));
+        self.hand_over(now_us, 0);
+        for replica in self.replicas.values_mut() {
+            replica.limit = 1;
+        }
+    }
+
+    /// Tells the new home what it needs to know, or how many sends still run here.
+    fn hand_over(&mut self, now_us: u64, sequence: u64) {
+        let replicas =
+            self.replicas.values().map(|replica| self.replica_hand_over(replica, now_us));
         let given = HandOver {
             group: self.configuration.group.clone(),
-            from: me,
+            from: self.me.clone(),
+            sequence,
             replicas: replicas.collect(),
         };
         self.effects.push(LaneEffect::HandOver(given));
-        for replica in self.replicas.values_mut() {
-            replica.limit = 1;
+    }
+
+    /// Frees the new home's slots as the last sends of the old one end.
+    ///
+    /// Guards against slots that stay kept until the old sends' deadlines: where few replicas
+    /// are left, as with a failure domain out, queries would wait for them in vain.
+    fn tell_new_home(&mut self, now_us: u64) {
+        if let Role::Retired { sequence } = &mut self.role {
+            *sequence += 1;
+            let sequence = *sequence;
+            self.hand_over(now_us, sequence);
         }
     }
 
     /// One replica's part of a hand-over.
-    fn hand_over(&self, replica: &Replica, now_us: u64) -> sassafrasproxy_wire::ReplicaHandOver {
+    fn replica_hand_over(
+        &self,
+        replica: &Replica,
+        now_us: u64,
+    ) -> sassafrasproxy_wire::ReplicaHandOver {
         let running =
             self.attempts.values().filter(|attempt| attempt.replica == replica.spec.address);
         let busy_until_us = running.map(|attempt| attempt.deadline_us).max().unwrap_or(0);
@@ -517,12 +554,24 @@
     /// Takes over what the old home had learned, which ends the narrow start.
     fn adopt(&mut self, now_us: u64, given: &HandOver) {
         let Role::Home { full_from_us } = &mut self.role else { return };
-        *full_from_us = now_us;
+        let is_first = given.sequence == 0;
+        let is_latest = self.heard_sequence.is_none_or(|heard| given.sequence > heard);
         for one in &given.replicas {
-            if let Some(replica) = self.replicas.get_mut(&one.address) {
+            let Some(replica) = self.replicas.get_mut(&one.address) else { continue };
+            if is_first {
                 replica.adopt(one, self.configuration.policy.slots, now_us);
             }
+            if is_latest {
+                replica.lend(one, now_us);
+            }
+        }
+        if is_latest {
+            self.heard_sequence = Some(given.sequence);
         }
+        if !is_first {
+            return;
+        }
+        *full_from_us = now_us;
         let kind = EventKind::HandOverTaken {
             group: self.configuration.group.clone(),
             from: given.from.clone(),
@@ -571,10 +620,10 @@
             self.attempts.iter().filter(|(_, one)| is_silent(one)).map(|(id, _)| *id).collect();
         for id in silent {
             let Some(attempt) = self.attempts.get(&id) else { continue };
-            let (sub, address) = (attempt.sub, attempt.replica.clone());
-            let generation = attempt.generation;
+            let (sub, started_us) = (attempt.sub, attempt.started_us);
+            let (address, generation) = (attempt.replica.clone(), attempt.generation);
             if self.replicas.get(&address).is_some_and(|one| one.generation == generation) {
-                self.condemn(&address);
+                self.condemn_quiet(started_us);
             }
             self.resend_silent(sub, id);
         }
@@ -586,11 +635,12 @@
         if state.was_silent || !state.sub.is_idempotent {
             return;
         }
-        state.was_silent = true;
         state.may_have_run = true;
         state.last_reason = Some(Reason::ConnectionLost);
         state.live.retain(|live| *live != id);
+        // A hedge that is open may still answer, or turn out to be silent as well.
         let is_idle = state.live.is_empty();
+        state.was_silent = is_idle;
         self.cancel_all(&[id]);
         if is_idle {
             self.queue.push_front(key);
@@ -601,7 +651,7 @@
     /// When a send counts as silent; `None` once its replica has answered something since.
     fn silent_at_us(&self, attempt: &Attempt) -> Option<u64> {
         let replica = self.replicas.get(&attempt.replica)?;
-        if attempt.is_cancelling || replica.last_answer_us >= attempt.started_us {
+        if attempt.is_cancelling || replica.last_answer_us > attempt.started_us {
             return None;
         }
         let policy = &self.configuration.policy;
@@ -824,7 +874,24 @@
     fn may_grow(&self, now_us: u64) -> bool {
         match self.role {
             Role::Home { full_from_us } => now_us >= full_from_us,
-            Role::Fallback => false,
+            Role::Fallback | Role::Retired { .. } => false,
+        }
+    }
+
+    /// Gives up the open connections of every replica that answered nothing since a time.
+    ///
+    /// What lost track of one replica's connections may have lost all that go the same way; the
+    /// next send must not meet another silent one. A new connection costs a few milliseconds.
+    fn condemn_quiet(&mut self, since_us: u64) {
+        let is_quiet = |replica: &&Replica| replica.last_answer_us <= since_us;
+        let quiet: Vec<EcoString> = self
+            .replicas
+            .values()
+            .filter(is_quiet)
+            .map(|replica| replica.spec.address.clone())
+            .collect();
+        for address in quiet {
+            self.condemn(&address);
         }
     }
 
--- a/crates/sassafrasproxy-core/src/lane/replica.rs
+++ b/crates/sassafrasproxy-core/src/lane/replica.rs
@@ -317,12 +317,16 @@
         Change::Phase(sign)
     }
 
-    /// Takes the limit that its old home had learned, keeping free what that one still uses.
+    /// Keeps free what its old home still uses, until that has surely ended.
+    pub fn lend(&mut self, given: &ReplicaHandOver, now_us: u64) {
+        self.lent = given.in_flight;
+        self.lent_until_us = now_us + given.busy_ms * crate::US_PER_MS;
+    }
+
+    /// Takes the limit that its old home had learned.
     pub fn adopt(&mut self, given: &ReplicaHandOver, slots: u32, now_us: u64) {
         self.limit = given.limit.clamp(1, slots);
         self.boot_id.clone_from(&given.boot_id);
-        self.lent = given.in_flight;
-        self.lent_until_us = now_us + given.busy_ms * crate::US_PER_MS;
         self.limit_changed_us = now_us;
         if self.limit == slots && matches!(self.phase, Phase::Unknown | Phase::Cold) {
             self.phase = Phase::Serving;
--- a/crates/sassafrasproxy-core/tests/home_change.rs
+++ b/crates/sassafrasproxy-core/tests/home_change.rs
@@ -3,7 +3,7 @@
 mod bench;
 
 use bench::{Bench, MS};
-use sassafrasproxy_core::LaneEvent;
+use sassafrasproxy_core::{AttemptResult, LaneEvent};
 use sassafrasproxy_wire::{SubOutcome, UpstreamState};
 
 // Two nodes each believe to be home for a few seconds. Upstreams with two slots would see four
@@ -52,6 +52,36 @@
     assert_eq!(new.in_flight(&replica), 1, "until the old home's deadline");
 }
 
+// A failure domain goes out and homes move, with one usable replica left. The old home's last
+// send there ends in milliseconds; queries at the new home must not wait for its deadline.
+#[test]
+fn slots_given_back() {
+    let mut old = Bench::warm();
+    let running: Vec<_> = (0..6).map(|_| old.submit()).collect();
+    old.step(LaneEvent::LoseHome { me: "vm-1".into() });
+    let first = old.hand_overs.remove(0);
+    for sub in running {
+        old.end_sub(sub, AttemptResult::Answered);
+    }
+    let last = old.hand_overs.pop().unwrap();
+
+    // The two may come in either order.
+    for order in [[&first, &last], [&last, &first]] {
+        let mut new = Bench::unheard();
+        new.step(LaneEvent::BecomeHome { view_skew_us: 3_000 * MS });
+        for replica in ["a", "b", "c"] {
+            new.status(replica, UpstreamState::Serving);
+        }
+        for given in order {
+            new.step(LaneEvent::HandedOver(given.clone()));
+        }
+        for _ in 0..8 {
+            new.submit();
+        }
+        assert!(["a", "b", "c"].iter().all(|replica| new.in_flight(replica) == 2));
+    }
+}
+
 // A planned move of a home must not lose or refuse what waits there.
 #[test]
 fn queue_goes_back() {
--- a/crates/sassafrasproxy-core/tests/in_force.rs
+++ b/crates/sassafrasproxy-core/tests/in_force.rs
@@ -48,7 +48,7 @@
     assert!(settle_ms(&mut cluster, 2_000) < 2_000);
     for node in 0..8 {
         let view = cluster.view(node);
-        let is_out = |home: &ecow::EcoString| view.members[home].failure_domain == "domain-1";
+        let is_out = |home: &EcoString| view.members[home].failure_domain == "domain-1";
         assert!(view.homes.values().all(|ranked| !is_out(&ranked[0])));
     }
 }
--- a/crates/sassafrasproxy-core/tests/silence.rs
+++ b/crates/sassafrasproxy-core/tests/silence.rs
@@ -14,7 +14,8 @@
     let mut bench = Bench::warm();
     let key = bench.submit();
     bench.pass(60 * MS);
-    assert!(!bench.condemned.is_empty(), "noticed within 60 ms at a norm of 5 ms");
+    assert_eq!(bench.sends.len(), 3, "the send, its hedge, and one more when both are silent");
+    assert_eq!(bench.condemned.len(), 3, "all, within 60 ms at a norm of 5 ms");
     let newest = *bench.open.keys().last().unwrap();
     bench.end(newest, AttemptResult::Answered);
     assert_eq!(bench.replies[&key], SubOutcome::Answered);
--- a/crates/sassafrasproxy-wire/src/peer.rs
+++ b/crates/sassafrasproxy-wire/src/peer.rs
@@ -245,6 +245,8 @@
     pub group: EcoString,
     /// The old home.
     pub from: EcoString,
+    /// 0 when the home moves; then one more each time that a send of the old home has ended.
+    pub sequence: u64,
     /// Each replica's state.
     pub replicas: Vec<ReplicaHandOver>,
 }
