Keep the lints clean in tests and examples

Cause: the lints had failed on closures in tests and the load tool. Change: their methods named in place of closures. Behaviour is the same.

--- a/crates/sassafrasproxy-cli/tests/at_most_once.rs
+++ b/crates/sassafrasproxy-cli/tests/at_most_once.rs
@@ -112,7 +112,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn impatient_callers() {
     let system = start(3).await;
-    let nodes: Vec<SocketAddr> = system.nodes.iter().map(|node| node.address()).collect();
+    let nodes: Vec<SocketAddr> =
+        system.nodes.iter().map(sassafrasproxy_standin::NodeProcess::address).collect();
     let mut callers = JoinSet::new();
     for caller in 0..3 {
         for order in 0..20 {
--- a/crates/sassafrasproxy-cli/tests/moves.rs
+++ b/crates/sassafrasproxy-cli/tests/moves.rs
@@ -73,7 +73,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn domain_out_and_in() {
     let system = start().await;
-    let nodes: Vec<SocketAddr> = system.nodes.iter().map(|node| node.address()).collect();
+    let nodes: Vec<SocketAddr> =
+        system.nodes.iter().map(sassafrasproxy_standin::NodeProcess::address).collect();
     let askers: Vec<_> = nodes.iter().map(|node| keep_asking(*node)).collect();
     let platform = PlatformClient::new(system.platform.url()).unwrap();
     let out = Change::DomainOut(DOMAINS[1].into());
@@ -115,7 +116,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_end() {
     let mut system = start().await;
-    let nodes: Vec<SocketAddr> = system.nodes.iter().map(|node| node.address()).collect();
+    let nodes: Vec<SocketAddr> =
+        system.nodes.iter().map(sassafrasproxy_standin::NodeProcess::address).collect();
     let others: Vec<_> = nodes[..2].iter().map(|node| keep_asking(*node)).collect();
     let (stop, leaver) = keep_asking(nodes[2]);
     system.nodes[2].terminate().unwrap();
--- a/crates/sassafrasproxy-standin/examples/load.rs
+++ b/crates/sassafrasproxy-standin/examples/load.rs
@@ -87,8 +87,12 @@
 
 /// Prints what the slowest of as many ideal sub-requests as a query has would take.
 fn print_floor(fleet: &Fleet, plan: &LoadPlan) {
-    let mut times: Vec<f32> =
-        fleet.upstreams.values().flatten().flat_map(|one| one.take_service_ms()).collect();
+    let mut times: Vec<f32> = fleet
+        .upstreams
+        .values()
+        .flatten()
+        .flat_map(sassafrasproxy_standin::UpstreamStandIn::take_service_ms)
+        .collect();
     if times.is_empty() {
         return;
     }
