Hold cold upstreams to what they bear, notice each lost connection, and pace claims

Cold: a replica's limit grew after 2 answers up to 5 times slower than usual, so replicas that fall over at 2 requests while cold died 27 times in 5 restarts. Silence: a replica that answered over a new connection cleared every other send to it, so 13 to 16 of 475 queries waited out their deadline for one lost connection; ruled out were the cancel path and the choice of the second replica, both seen at work on the time line. Claims: each ending took a write of its own, and the next claim waited 50 ms behind it. Change: only answers within twice the latency of the group's quickest replica count towards the next slot, 8 for each; a status of cold holds the limit; a death soon after growth doubles what is asked. A send is given up at 6 norms when its replica is quiet, at 10 when it is not. Endings wait up to 250 ms for a claim to go with, and an idle bucket may write 3 times at once.

--- a/crates/sassafrasproxy-core/src/claims.rs
+++ b/crates/sassafrasproxy-core/src/claims.rs
@@ -40,15 +40,25 @@
 pub struct ClaimPolicy {
     /// How long an epoch lasts; a key is kept for one to two of them.
     pub epoch_ms: u64,
-    /// The least time between two writes of a bucket.
+    /// The least time between two writes of a bucket, on average.
     pub pace_us: u64,
+    /// How many writes a bucket that was idle may make at once.
+    pub burst: u64,
+    /// How long an ending waits for a claim to be written with.
+    pub ending_us: u64,
     /// How long the bucket leaves the store alone after calls that failed.
     pub retry_us: u64,
 }
 
 impl Default for ClaimPolicy {
     fn default() -> Self {
-        Self { epoch_ms: 12 * 3_600 * 1_000, pace_us: 50_000, retry_us: 200_000 }
+        Self {
+            epoch_ms: 12 * 3_600 * 1_000,
+            pace_us: 50_000,
+            burst: 3,
+            ending_us: 250_000,
+            retry_us: 200_000,
+        }
     }
 }
 
@@ -151,6 +161,8 @@
     calling: Option<StoreCall>,
     next_batch: u64,
     next_write_us: u64,
+    /// When the first ending that waits came.
+    ending_since_us: Option<u64>,
     /// The store is left alone until then.
     retry_at_us: u64,
     failures: u32,
@@ -213,6 +225,7 @@
             calling: None,
             next_batch: 0,
             next_write_us: 0,
+            ending_since_us: None,
             retry_at_us: 0,
             failures: 0,
             effects: Vec::new(),
@@ -223,7 +236,10 @@
     pub fn step(&mut self, now_us: u64, wall_ms: u64, event: ClaimEvent) -> Vec<ClaimEffect> {
         match event {
             ClaimEvent::Claim { ticket, request } => self.claim(now_us, ticket, request),
-            ClaimEvent::Record(request) => self.record(request),
+            ClaimEvent::Record(request) => {
+                self.ending_since_us.get_or_insert(now_us);
+                self.record(request);
+            }
             ClaimEvent::Called(result) => self.called(now_us, result),
             ClaimEvent::Timer => {}
         }
@@ -235,7 +251,7 @@
     /// When the bucket wants its next [`ClaimEvent::Timer`].
     pub fn wake_us(&self) -> Option<u64> {
         let has_work = !self.waiting.is_empty() || self.batch.is_some();
-        (has_work && self.calling.is_none()).then(|| self.retry_at_us.max(self.next_write_us))
+        (has_work && self.calling.is_none()).then(|| self.retry_at_us.max(self.write_at_us()))
     }
 
     /// Answers a claim from what is known, or lets it wait for the next write.
@@ -321,7 +337,15 @@
         if self.batch.as_ref().is_some_and(|batch| batch.is_unsettled) {
             return Next::Call(StoreCall::Read { key: self.current.next_key() });
         }
-        if now_us < self.next_write_us { Next::Wait } else { Next::WriteBatch }
+        if now_us < self.write_at_us() { Next::Wait } else { Next::WriteBatch }
+    }
+
+    /// When what waits may be written: endings alone wait a while for a claim to go with.
+    fn write_at_us(&self) -> u64 {
+        let has_claim = self.waiting.iter().any(|one| one.ticket.is_some());
+        let ending_at_us = self.ending_since_us.map_or(0, |since| since + self.policy.ending_us);
+        let wait_us = if has_claim || self.batch.is_some() { 0 } else { ending_at_us };
+        self.next_write_us.max(wait_us)
     }
 
     /// The write that seals the last epoch's log.
@@ -333,7 +357,9 @@
 
     /// The write of everything that waits, or of the batch that has not been settled.
     fn write_batch(&mut self, now_us: u64) -> StoreCall {
-        self.next_write_us = now_us + self.policy.pace_us;
+        let saved_us = now_us.saturating_sub((self.policy.burst - 1) * self.policy.pace_us);
+        self.next_write_us = self.next_write_us.max(saved_us) + self.policy.pace_us;
+        self.ending_since_us = None;
         if self.batch.is_none() {
             self.next_batch += 1;
             let waiting: Vec<Waiting> = self.waiting.drain(..batch_len(&self.waiting)).collect();
@@ -374,7 +400,6 @@
                 if let Some(batch) = &mut self.batch {
                     batch.is_unsettled = false;
                 }
-                self.next_write_us = now_us;
             }
             (_, _) => self.failed(now_us, &StoreCall::List { prefix: EcoString::new() }),
         }
@@ -395,7 +420,6 @@
             self.answer_batch();
         } else if let Some(batch) = &mut self.batch {
             batch.is_unsettled = false;
-            self.next_write_us = 0;
         }
         self.answer_known();
     }
--- a/crates/sassafrasproxy-core/src/lane/message.rs
+++ b/crates/sassafrasproxy-core/src/lane/message.rs
@@ -57,10 +57,16 @@
     pub run_quantile: f64,
     /// The least time between two steps of a cold replica's limit.
     pub ramp_step_us: u64,
+    /// The good answers that each slot of a cold replica's limit takes to grow by one.
+    pub ramp_answers: u32,
+    /// An answer up to this many times as slow as the group's quickest replica is a warm one.
+    pub warm_factor: f64,
     /// A latency this many times the replica's norm is slow.
     pub slow_factor: f64,
     /// A send is silent after this many times the replica's norm without any answer from it.
     pub silence_factor: u64,
+    /// The same where the replica did answer something else since.
+    pub stuck_factor: u64,
     /// A send is never silent before this.
     pub least_silence_us: u64,
     /// The pause after a shed request that names none.
@@ -86,8 +92,11 @@
             hedge_quantile: 0.95,
             run_quantile: 0.9,
             ramp_step_us: 200_000,
+            ramp_answers: 8,
+            warm_factor: 2.0,
             slow_factor: 5.0,
-            silence_factor: 8,
+            silence_factor: 6,
+            stuck_factor: 10,
             least_silence_us: 15_000,
             shed_pause_us: 20_000,
             longest_pause_us: 2_000_000,
--- a/crates/sassafrasproxy-core/src/lane/mod.rs
+++ b/crates/sassafrasproxy-core/src/lane/mod.rs
@@ -25,6 +25,9 @@
 /// How often a sub-request may be shed or turned away before the home gives up on it.
 const MAX_SENDS: u32 = 4;
 
+/// How often a sub-request is sent again because its connection was silent.
+const MAX_SILENCES: u32 = 2;
+
 /// The part of the time left after which a replica that never answered counts as silent: one part
 /// in this many.
 const UNKNOWN_SILENCE_PART: u64 = 3;
@@ -78,8 +81,8 @@
     failed: Vec<EcoString>,
     /// Whether its one hedge was used.
     is_hedged: bool,
-    /// Whether its one free send after a silent connection was used.
-    was_silent: bool,
+    /// Sends after silent connections, which are free of the budget.
+    silences: u32,
     /// Whether its next send must be paid from the budget.
     owes: bool,
     /// Whether a send that did not answer may have run.
@@ -318,8 +321,9 @@
         let latency_us = now_us.saturating_sub(attempt.started_us);
         let may_grow = self.may_grow(now_us);
         let policy = self.configuration.policy;
+        let warm_us = self.replicas.values().filter_map(Replica::norm_us).min();
         self.observe(&attempt.replica, |replica| {
-            replica.note_answer(now_us, latency_us, &policy, may_grow)
+            replica.note_answer(now_us, latency_us, &policy, warm_us, may_grow)
         });
         self.suspects.clear(attempt.fingerprint);
         let Some(state) = self.subs.get(&attempt.sub) else { return };
@@ -612,7 +616,7 @@
     ///
     /// Guards against connections that something in between has lost track of: requests go out
     /// and nothing returns, for good, while new connections work. A replica that answered
-    /// anything else since the send is only slow, which a hedge covers.
+    /// something else since the send keeps its connections: it may only be slow.
     fn notice_silence(&mut self, now_us: u64) {
         let is_silent =
             |attempt: &Attempt| self.silent_at_us(attempt).is_some_and(|at_us| at_us <= now_us);
@@ -622,17 +626,21 @@
             let Some(attempt) = self.attempts.get(&id) else { continue };
             let (sub, started_us) = (attempt.sub, attempt.started_us);
             let (address, generation) = (attempt.replica.clone(), attempt.generation);
-            if self.replicas.get(&address).is_some_and(|one| one.generation == generation) {
-                self.condemn_quiet(started_us);
+            let is_quiet = self.replicas.get(&address).is_some_and(|one| {
+                one.generation == generation && one.last_answer_us <= started_us
+            });
+            if is_quiet {
+                // Most of the time since the send, so that a late answer elsewhere clears nobody.
+                self.condemn_quiet(started_us.midpoint(now_us));
             }
             self.resend_silent(sub, id);
         }
     }
 
-    /// Sends a sub-request again whose connection was silent; once, free of the budget.
+    /// Sends a sub-request again whose connection was silent; free of the budget, but bounded.
     fn resend_silent(&mut self, key: SubKey, id: AttemptId) {
         let Some(state) = self.subs.get_mut(&key) else { return };
-        if state.was_silent || !state.sub.is_idempotent {
+        if state.silences >= MAX_SILENCES || !state.sub.is_idempotent {
             return;
         }
         state.may_have_run = true;
@@ -640,7 +648,7 @@
         state.live.retain(|live| *live != id);
         // A hedge that is open may still answer, or turn out to be silent as well.
         let is_idle = state.live.is_empty();
-        state.was_silent = is_idle;
+        state.silences += u32::from(is_idle);
         self.cancel_all(&[id]);
         if is_idle {
             self.queue.push_front(key);
@@ -648,19 +656,25 @@
         }
     }
 
-    /// When a send counts as silent; `None` once its replica has answered something since.
+    /// When a send counts as silent: sooner when its replica has answered nothing else since.
+    ///
+    /// A replica that answers over other connections may still have lost this one, so that a send
+    /// is given up in the end whatever else comes back.
     fn silent_at_us(&self, attempt: &Attempt) -> Option<u64> {
         let replica = self.replicas.get(&attempt.replica)?;
-        if attempt.is_cancelling || replica.last_answer_us > attempt.started_us {
+        if attempt.is_cancelling {
             return None;
         }
         let policy = &self.configuration.policy;
+        let factor = match replica.last_answer_us > attempt.started_us {
+            true => policy.stuck_factor,
+            false => policy.silence_factor,
+        };
         let bound_us = match replica.norm_us() {
-            Some(norm_us) => norm_us * policy.silence_factor,
+            Some(norm_us) => norm_us * factor,
             None => (attempt.deadline_us - attempt.started_us) / UNKNOWN_SILENCE_PART,
         };
-        let bound_us = bound_us.max(policy.least_silence_us);
-        Some(attempt.started_us + bound_us)
+        Some(attempt.started_us + bound_us.max(policy.least_silence_us))
     }
 
     /// Sends what waits, as far as slots allow.
@@ -993,7 +1007,7 @@
             live: Vec::new(),
             failed: Vec::new(),
             is_hedged: false,
-            was_silent: false,
+            silences: 0,
             owes: false,
             may_have_run: false,
             last_reason: None,
--- a/crates/sassafrasproxy-core/src/lane/replica.rs
+++ b/crates/sassafrasproxy-core/src/lane/replica.rs
@@ -8,6 +8,12 @@
 
 use super::{LanePolicy, ReplicaSpec, StatusReport};
 
+/// A replica that dies this soon after its limit grew must earn the next slot more slowly.
+const SETBACK_US: u64 = 30_000_000;
+
+/// How often such a death doubles the answers that it must give.
+const MAX_SETBACKS: u32 = 6;
+
 /// How many slow answers in a row are the sign of a cold start.
 const SLOW_ANSWERS_FOR_COLD: u32 = 3;
 
@@ -51,8 +57,13 @@
     lent_until_us: u64,
     norm_us: Option<f64>,
     slow_answers: u32,
+    /// Answers since the limit last changed that were as quick as those of a warm replica.
     good_answers: u32,
     limit_changed_us: u64,
+    /// Whether its last status said that it is cold.
+    says_cold: bool,
+    /// How often in a row it died soon after its limit had grown.
+    setbacks: u32,
 }
 
 /// What a replica can be used for.
@@ -128,6 +139,8 @@
             slow_answers: 0,
             good_answers: 0,
             limit_changed_us: 0,
+            says_cold: false,
+            setbacks: 0,
         }
     }
 
@@ -184,11 +197,16 @@
     }
 
     /// Takes a good answer into account: the limit grows by good answers and time together.
+    ///
+    /// `warm_us` is the latency of the group's quickest replica, if any is known. Guards against
+    /// an upstream that falls over under load while its caches are cold, whatever its status
+    /// says: only answers about as quick as a warm replica's count towards the next slot.
     pub fn note_answer(
         &mut self,
         now_us: u64,
         latency_us: u64,
         policy: &LanePolicy,
+        warm_us: Option<u64>,
         may_grow: bool,
     ) -> Change {
         self.last_answer_us = now_us;
@@ -203,6 +221,10 @@
         } else {
             // A norm that never follows a lasting change would hold the limit down for good.
             self.norm_us = Some(norm_us * SLOW_NORM_GROWTH);
+        }
+        let is_warm =
+            warm_us.is_none_or(|warm_us| latency_us as f64 <= warm_us as f64 * policy.warm_factor);
+        if !is_warm || is_slow {
             return Change::None;
         }
         self.good_answers += 1;
@@ -238,7 +260,12 @@
         }
         let is_first = self.boot_id.replace(boot_id.clone()).is_none();
         self.denied.clear();
-        if is_first { Change::None } else { self.turn_cold(now_us, "boot_id") }
+        if is_first {
+            return Change::None;
+        }
+        let died_growing = now_us < self.limit_changed_us + SETBACK_US;
+        self.setbacks = if died_growing { self.setbacks + 1 } else { 0 };
+        self.turn_cold(now_us, "boot_id")
     }
 
     /// Waits for a probe before new work is sent, because a connection was lost mid-request.
@@ -288,6 +315,7 @@
         let was = self.phase;
         let boot_change = self.note_boot(&status.boot_id, now_us);
         self.held.clone_from(&status.snapshots);
+        self.says_cold = status.state == UpstreamState::Cold;
         match (status.state, was) {
             (UpstreamState::Draining, _) => self.note_draining("status"),
             (UpstreamState::Cold, Phase::Serving) => self.turn_cold(now_us, "status"),
@@ -346,9 +374,10 @@
 
     /// Raises the limit by one when enough answers were good for long enough.
     fn grow(&mut self, now_us: u64, policy: &LanePolicy) -> Change {
-        let is_ripe = now_us >= self.limit_changed_us + policy.ramp_step_us
-            && self.good_answers >= 2 * self.limit;
-        if !is_ripe || self.phase != Phase::Cold {
+        let wanted = (policy.ramp_answers * self.limit) << self.setbacks.min(MAX_SETBACKS);
+        let is_ripe =
+            now_us >= self.limit_changed_us + policy.ramp_step_us && self.good_answers >= wanted;
+        if !is_ripe || self.says_cold || self.phase != Phase::Cold {
             return Change::None;
         }
         if self.limit >= policy.slots {
--- a/crates/sassafrasproxy-core/tests/cold_start.rs
+++ b/crates/sassafrasproxy-core/tests/cold_start.rs
@@ -3,26 +3,103 @@
 mod bench;
 
 use bench::{Bench, MS};
-use sassafrasproxy_core::{AttemptReport, AttemptResult, LaneEvent};
+use sassafrasproxy_core::{AttemptReport, AttemptResult, LaneEvent, SubKey};
 use sassafrasproxy_wire::UpstreamState;
 
 #[test]
 fn slow_ramp() {
+    let mut bench = Bench::cold();
+    for _ in 0..50 {
+        run_at(&mut bench, "a", 5);
+    }
+    assert_eq!(bench.limit("a"), 2, "by answers and time together");
+
     let mut bench = Bench::cold();
     for _ in 0..50 {
         bench.submit();
         bench.answer_all();
     }
     assert_eq!(bench.limit("a"), 1, "good answers alone are not enough");
-    bench.pass(250 * MS);
+    bench.pass(2_000 * MS);
     assert_eq!(bench.limit("a"), 1, "time alone is not enough");
-    for _ in 0..30 {
-        bench.submit();
-        bench.answer_all();
+}
+
+/// Runs requests on every replica, each for some milliseconds on one and for 5 on the others.
+fn run_at(bench: &mut Bench, slow: &str, slow_ms: u64) {
+    let mut subs: Vec<_> = (0..5).map(|_| quiet_sub(bench)).collect();
+    bench.pass(5 * MS);
+    // While limits are small some wait, and run when the others are done.
+    subs.retain(|sub| {
+        let replica = bench.open.values().find(|(_, key)| key == sub).map(|(at, _)| at.clone());
+        let is_quick = replica.is_some_and(|at| at != slow);
+        if is_quick {
+            bench.end_sub(*sub, AttemptResult::Answered);
+        }
+        !is_quick
+    });
+    bench.pass((slow_ms - 5) * MS);
+    subs.into_iter().for_each(|sub| bench.end_sub(sub, AttemptResult::Answered));
+}
+
+/// Submits a search that is not hedged.
+fn quiet_sub(bench: &mut Bench) -> SubKey {
+    let mut sub = bench.sub();
+    sub.may_hedge = false;
+    bench.submit_sub(sub)
+}
+
+// A back end falls over under full load while its caches are cold, and its status says "serving"
+// from the first moment. It answers four times as slowly as the others until it is warm; until
+// then it must not get a second slot.
+#[test]
+fn slow_while_cold() {
+    let mut bench = Bench::warm();
+    *bench.boots.get_mut("a").unwrap() += 1;
+    bench.status("a", UpstreamState::Serving);
+    for _ in 0..200 {
+        run_at(&mut bench, "a", 20);
+    }
+    assert_eq!(bench.limit("a"), 1);
+    for _ in 0..100 {
+        run_at(&mut bench, "a", 5);
+    }
+    assert_eq!(bench.limit("a"), 2);
+}
+
+#[test]
+fn says_cold() {
+    let mut bench = Bench::warm();
+    bench.status("a", UpstreamState::Cold);
+    for _ in 0..100 {
+        run_at(&mut bench, "a", 5);
+    }
+    assert_eq!(bench.limit("a"), 1, "its own word holds it down");
+    bench.status("a", UpstreamState::Serving);
+    for _ in 0..100 {
+        run_at(&mut bench, "a", 5);
     }
     assert_eq!(bench.limit("a"), 2);
 }
 
+// Nothing tells a cold back end from a warm one, and it falls over whenever it gets a second
+// request. Each death must make the next try rarer.
+#[test]
+fn rarer_setbacks() {
+    let mut bench = Bench::cold();
+    let mut rounds = Vec::new();
+    for _ in 0..6 {
+        let mut count = 0;
+        while bench.limit("a") == 1 {
+            run_at(&mut bench, "a", 5);
+            count += 1;
+        }
+        rounds.push(count);
+        *bench.boots.get_mut("a").unwrap() += 1;
+        bench.status("a", UpstreamState::Serving);
+    }
+    assert!(rounds[5] >= 2 * rounds[4] && rounds[4] > rounds[0], "{rounds:?}");
+}
+
 // Back ends fall over under full load after a cold start, and turn cold without warning. Each
 // sign alone must bring a replica's limit down to 1, whatever its status says.
 #[test]
--- a/crates/sassafrasproxy-core/tests/silence.rs
+++ b/crates/sassafrasproxy-core/tests/silence.rs
@@ -30,7 +30,7 @@
     sub.may_hedge = false;
     let slow = bench.submit_sub(sub);
     let replica = bench.replica_of(slow);
-    for _ in 0..18 {
+    for _ in 0..9 {
         bench.pass(5 * MS);
         let quick = bench.submit_at(&replica);
         bench.end_sub(quick, AttemptResult::Answered);
@@ -42,6 +42,32 @@
     assert!(bench.condemned.is_empty());
 }
 
+// Only the connection of one search is lost; the replica answers others over new ones all the
+// time. Its user must not wait for the deadline just because the replica is well.
+#[test]
+fn one_lost_connection() {
+    let mut bench = Bench::warm();
+    let mut sub = bench.sub();
+    sub.may_hedge = false;
+    let lost = bench.submit_sub(sub);
+    let replica = bench.replica_of(lost);
+    for _ in 0..12 {
+        bench.pass(5 * MS);
+        let quick = bench.submit_at(&replica);
+        bench.end_sub(quick, AttemptResult::Answered);
+        if bench.open.values().filter(|(_, key)| *key == lost).count() > 1 {
+            break;
+        }
+        let others: Vec<_> =
+            bench.open.iter().filter(|(_, (_, key))| *key != lost).map(|(id, _)| *id).collect();
+        others.into_iter().for_each(|id| bench.end(id, AttemptResult::Answered));
+    }
+    let again = *bench.open.iter().rfind(|(_, (_, key))| *key == lost).unwrap().0;
+    bench.end(again, AttemptResult::Answered);
+    assert_eq!(bench.replies.get(&lost), Some(&SubOutcome::Answered), "within 60 ms");
+    assert!(bench.condemned.is_empty(), "the replica's other connections stay");
+}
+
 // A reorder sits on a silent connection. Sending it again could print the order twice; its
 // outcome stays unknown until its deadline.
 #[test]
--- a/crates/sassafrasproxy-node/src/lane.rs
+++ b/crates/sassafrasproxy-node/src/lane.rs
@@ -21,8 +21,11 @@
 use crate::shared::Shared;
 use crate::upstreams::{AttemptRequest, Upstream};
 
-/// The time between two status reads of a replica.
-const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+/// The time between two status reads of a replica that is down.
+const DOWN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How many such times lie between two status reads of a replica that is not.
+const STATUS_EVERY: u64 = 5;
 
 /// How long a lane that is only a fallback reads statuses after its last sub-request.
 const FALLBACK_POLL_US: u64 = 5_000_000;
@@ -72,6 +75,7 @@
         upstreams: IndexMap::new(),
         next_key: 0,
         last_submit_us: 0,
+        polls: 0,
     };
     task.take_view(&view);
     tokio::spawn(task.run(inputs));
@@ -93,6 +97,7 @@
     upstreams: IndexMap<EcoString, Upstream>,
     next_key: u64,
     last_submit_us: u64,
+    polls: u64,
 }
 
 /// A sub-request that is not answered yet.
@@ -112,7 +117,7 @@
 impl LaneTask {
     /// Takes inputs in until the group is gone.
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LaneInput>) {
-        let mut poll = tokio::time::interval(STATUS_INTERVAL);
+        let mut poll = tokio::time::interval(DOWN_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let now_us = self.shared.clock.now_us();
@@ -223,8 +228,11 @@
         if !self.is_home && now_us > self.last_submit_us + FALLBACK_POLL_US {
             return;
         }
-        let addresses: Vec<EcoString> =
-            self.configuration.replicas.iter().map(|replica| replica.address.clone()).collect();
+        self.polls += 1;
+        let is_full_poll = self.polls % STATUS_EVERY == 1;
+        let is_due = |replica: &ReplicaStatus| is_full_poll || replica.phase == "down";
+        let replicas = self.lane.status().into_iter().filter(is_due);
+        let addresses: Vec<EcoString> = replicas.map(|replica| replica.address).collect();
         for address in addresses {
             let upstream = self.upstream(&address).clone();
             self.report_status(address, None, async move { upstream.status().await });
--- a/crates/sassafrasproxy-standin/examples/load.rs
+++ b/crates/sassafrasproxy-standin/examples/load.rs
@@ -153,6 +153,7 @@
         duration: Duration::ZERO,
         services: services.iter().map(|service| service.name.clone()).collect(),
         services_per_query,
+        kind: "search".into(),
         min_coverage: 0.0,
         seed,
     };
--- a/crates/sassafrasproxy-standin/src/load.rs
+++ b/crates/sassafrasproxy-standin/src/load.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use reqwest::{Client, StatusCode};
-use sassafrasproxy_wire::{QueryAnswer, Refusal};
+use sassafrasproxy_wire::{Coverage, QueryAnswer, REQUEST_ID_HEADER, Reason, Refusal};
 use serde_json::json;
 use tokio::task::JoinSet;
 
@@ -32,6 +32,8 @@
     pub services: Vec<EcoString>,
     /// How many of them each query asks.
     pub services_per_query: usize,
+    /// The kind of request; each gets a request id of its own.
+    pub kind: EcoString,
     /// The least coverage that each query asks for.
     pub min_coverage: f64,
     /// The seed of arrivals and choices.
@@ -47,6 +49,8 @@
     pub full: u64,
     /// Queries answered with some shards missing.
     pub thin: u64,
+    /// Shards that were missing from answers, by reason.
+    pub missing: IndexMap<Reason, u64>,
     /// Refusals by reason.
     pub refused: IndexMap<EcoString, u64>,
     /// Queries that got no readable answer.
@@ -63,7 +67,7 @@
 
 /// How one query ended.
 enum Ended {
-    Answered { fraction: f64, shards: usize },
+    Answered { coverage: Coverage },
     Refused { reason: EcoString, shards: usize },
     Failed,
 }
@@ -92,12 +96,14 @@
             plan.services.sample(&mut rng, plan.services_per_query).collect();
         let body = json!({
             "services": services,
-            "kind": "search",
+            "kind": plan.kind,
             "body": { "text": format!("verse {}", rng.random::<u32>()) },
             "min_coverage": plan.min_coverage,
         });
         let address = addresses[report.sent as usize % addresses.len()];
+        let id = format!("load-{:016x}", rng.random::<u64>());
         let request = client.post(format!("http://{address}/v1/query")).json(&body);
+        let request = request.header(REQUEST_ID_HEADER, id);
         report.sent += 1;
         tokio::time::sleep_until(due.into()).await;
         queries.spawn(async move {
@@ -123,8 +129,7 @@
     let Ok(response) = request.send().await else { return Ended::Failed };
     if response.status() == StatusCode::OK {
         let Ok(answer) = response.json::<QueryAnswer>().await else { return Ended::Failed };
-        let shards = answer.coverage.covered.len() + answer.coverage.missing.len();
-        return Ended::Answered { fraction: answer.coverage.fraction, shards };
+        return Ended::Answered { coverage: answer.coverage };
     }
     let Ok(refusal) = response.json::<Refusal>().await else { return Ended::Failed };
     let coverage = refusal.coverage.unwrap_or_default();
@@ -138,6 +143,7 @@
             sent: 0,
             full: 0,
             thin: 0,
+            missing: IndexMap::new(),
             refused: IndexMap::new(),
             failed: 0,
             latency_us: Histogram::new_with_bounds(1, MAX_LATENCY_US, 3)
@@ -166,9 +172,16 @@
     fn add(&mut self, ended: Ended, took: Duration) {
         self.latency_us.saturating_record(took.as_micros() as u64);
         match ended {
-            Ended::Answered { fraction, shards } => {
-                self.shards_asked += shards as u64;
-                if fraction >= 1.0 { self.full += 1 } else { self.thin += 1 }
+            Ended::Answered { coverage } => {
+                self.shards_asked += (coverage.covered.len() + coverage.missing.len()) as u64;
+                if coverage.missing.is_empty() {
+                    self.full += 1;
+                } else {
+                    self.thin += 1;
+                }
+                for missing in coverage.missing {
+                    *self.missing.entry(missing.reason).or_default() += 1;
+                }
             }
             Ended::Refused { reason, shards } => {
                 self.shards_asked += shards as u64;
@@ -181,7 +194,7 @@
 
 impl Display for LoadReport {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{} sent, {} full, {} thin", self.sent, self.full, self.thin)?;
+        write!(f, "{} sent, {} full, {} thin {:?}", self.sent, self.full, self.thin, self.missing)?;
         write!(f, ", refused {:?}, {} failed", self.refused, self.failed)?;
         write!(f, "; ms p50 {:.1}", self.latency_ms(0.5))?;
         write!(f, ", p95 {:.1}", self.latency_ms(0.95))?;
