Join faster in a mass start, and keep the members' hash as they change

Cause: 120 nodes that start at once took 13 s to know each other; a node that was behind got six news with each heartbeat, of which most were known. And each change hashed the whole table. Change: a node that has differed from its peers for 2 s says so and gets 64 news with each answer; the hash is kept by difference.

--- a/crates/sassafrasproxy-core/src/control/members.rs
+++ b/crates/sassafrasproxy-core/src/control/members.rs
@@ -32,6 +32,8 @@
     pub name_hash: u64,
     /// The hash of its failure domain's name.
     pub domain_hash: u64,
+    /// The hash of its state and incarnation; 0 while it is dead.
+    entry_hash: u64,
     /// The configuration revision that it last reported.
     pub revision: u64,
     /// The version of its holdings that it last reported.
@@ -72,6 +74,7 @@
             incarnation: update.incarnation,
             name_hash: hash_name(&update.node),
             domain_hash: hash_name(&update.failure_domain),
+            entry_hash: 0,
             revision: 0,
             holdings_version: 0,
             heard_us: 0,
@@ -166,6 +169,7 @@
         let old_state = known.map(|known| known.state);
         if let Some(known) = known {
             member.heard_us = known.heard_us;
+            member.entry_hash = known.entry_hash;
             member.revision = known.revision;
             let is_same_life = known.incarnation == update.incarnation;
             member.holdings_version = if is_same_life { known.holdings_version } else { 0 };
@@ -302,7 +306,12 @@
     fn changed(&mut self, node: &EcoString) {
         let rounds = 3 * (self.members.len() + 1).ilog2().max(1);
         self.news.insert(node.clone(), rounds);
-        self.hash = self.present().map(hash_member).fold(0, u64::wrapping_add);
+        let Some(member) = self.members.get_mut(node) else { return };
+        let old = std::mem::replace(&mut member.entry_hash, 0);
+        if member.state != MemberState::Dead {
+            member.entry_hash = hash_member(member);
+        }
+        self.hash = self.hash.wrapping_sub(old).wrapping_add(member.entry_hash);
     }
 }
 
--- a/crates/sassafrasproxy-core/src/control/message.rs
+++ b/crates/sassafrasproxy-core/src/control/message.rs
@@ -20,7 +20,9 @@
     pub fan_out: usize,
     /// How many news on members go with a heartbeat.
     pub news_per_heartbeat: usize,
-    /// How many go to a node that was not known before.
+    /// How long a node may count other members than its peers before it asks for more news.
+    pub differs_us: u64,
+    /// How many go to a node that was not known before, or that asks for more.
     pub news_for_newcomer: usize,
     /// How many nodes of each failure domain watch the store.
     pub watchers_per_domain: usize,
@@ -43,6 +45,7 @@
             indirect_probes: 2,
             fan_out: 3,
             news_per_heartbeat: 6,
+            differs_us: 2_000_000,
             news_for_newcomer: 64,
             watchers_per_domain: 2,
             lonely_us: 1_000_000,
--- a/crates/sassafrasproxy-core/src/control/mod.rs
+++ b/crates/sassafrasproxy-core/src/control/mod.rs
@@ -44,6 +44,10 @@
     holdings_version: u64,
     leaving_upstreams: Arc<IndexSet<EcoString>>,
     is_watching: bool,
+    /// The time of the last event.
+    now_us: u64,
+    /// Since when every heartbeat heard came from a node that counts other members.
+    differs_since_us: Option<u64>,
     ticks: u64,
     vm_list_at_us: u64,
     read_store_at_us: u64,
@@ -79,6 +83,8 @@
             holdings_version: 0,
             leaving_upstreams: Arc::default(),
             is_watching: false,
+            now_us,
+            differs_since_us: None,
             ticks: 0,
             vm_list_at_us: now_us,
             read_store_at_us: now_us + policy.lonely_us,
@@ -93,6 +99,7 @@
 
     /// Takes one event in and returns what to do, in order.
     pub fn step(&mut self, now_us: u64, event: ControlEvent) -> Vec<ControlEffect> {
+        self.now_us = now_us;
         match event {
             ControlEvent::Tick => self.tick(now_us),
             ControlEvent::HeartbeatHeard(heartbeat) => self.hear(now_us, &heartbeat),
@@ -124,16 +131,20 @@
             Some(theirs) if self.members.member(&theirs.from.node).is_none() => {
                 self.policy.news_for_newcomer
             }
-            Some(theirs) if theirs.members_hash != self.members.hash() => {
-                self.policy.news_per_heartbeat
-            }
-            _ => 0,
+            Some(theirs) if theirs.members_hash == self.members.hash() => 0,
+            // Few after one change, many for a node that is still behind, as in a mass start.
+            Some(theirs) if theirs.wants_news => self.policy.news_for_newcomer,
+            Some(_) => self.policy.news_per_heartbeat,
+            None => 0,
         };
         Heartbeat {
             from: self.members.me().as_update(),
             revision: self.configuration.revision,
             holdings_version: self.holdings_version,
             members_hash: self.members.hash(),
+            wants_news: self
+                .differs_since_us
+                .is_some_and(|since_us| self.now_us >= since_us + self.policy.differs_us),
             updates: self.members.take_news(self.policy.news_per_heartbeat, fill),
             hlc,
         }
@@ -230,6 +241,11 @@
             changes.extend(self.members.merge(now_us, update));
         }
         self.note_changes(changes);
+        if heartbeat.members_hash == self.members.hash() {
+            self.differs_since_us = None;
+        } else {
+            self.differs_since_us.get_or_insert(now_us);
+        }
         let peer_address = heartbeat.from.peer_address.clone();
         if self.members.note_heard(now_us, heartbeat) {
             self.effects.push(ControlEffect::PullHoldings { peer_address: peer_address.clone() });
--- a/crates/sassafrasproxy-core/tests/in_force.rs
+++ b/crates/sassafrasproxy-core/tests/in_force.rs
@@ -1,5 +1,7 @@
 //! Configurations and homes over many nodes.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod cluster;
 
 use cluster::{Cluster, MS, services};
@@ -35,6 +37,22 @@
     }
 }
 
+// At the planned size a configuration must be in force everywhere within 8 s, and the store must
+// not be read by every node. `IN_FORCE_NODES=1000`, with `--release`, runs that size.
+#[test]
+fn many_nodes() {
+    let count = std::env::var("IN_FORCE_NODES").map_or(120, |count| count.parse().unwrap());
+    let mut cluster = Cluster::start(count, 18, ControlPolicy::default());
+    cluster.publish(|configuration| configuration.services = services(10, 18));
+    cluster.run(12_000 * MS);
+    assert!((0..count).all(|node| cluster.alive_seen_by(node) == count), "all have joined");
+    cluster.store_reads = 0;
+    cluster.publish(|configuration| configuration.services = services(20, 18));
+    let took_ms = settle_ms(&mut cluster, 8_000);
+    println!("in force after {took_ms} ms, {} reads of the store", cluster.store_reads);
+    assert!(cluster.store_reads <= 2 * 18, "{} reads", cluster.store_reads);
+}
+
 // Operators take a failure domain out: in every view its nodes are no homes any more.
 #[test]
 fn domain_out() {
--- a/crates/sassafrasproxy-wire/src/peer.rs
+++ b/crates/sassafrasproxy-wire/src/peer.rs
@@ -189,12 +189,20 @@
     pub holdings_version: u64,
     /// A hash over the sender's members that are not dead, to notice a difference.
     pub members_hash: u64,
+    /// Whether the sender has counted other members than its peers for long, and wants more news.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub wants_news: bool,
     /// News on members.
     pub updates: Vec<MemberUpdate>,
     /// The sender's hybrid logical clock.
     pub hlc: Hlc,
 }
 
+/// Whether a flag can be left out.
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// Asks a member to probe another on the asker's behalf.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
