--- a/crates/sassafrasproxy-node/src/control.rs
+++ b/crates/sassafrasproxy-node/src/control.rs
@@ -6,7 +6,7 @@
 use ecow::EcoString;
 use indexmap::IndexMap;
 use sassafrasproxy_config::{HEAD_KEY, assemble, read_head};
-use sassafrasproxy_core::{Control, ControlEffect, ControlEvent};
+use sassafrasproxy_core::{Control, ControlEffect, ControlEvent, Member};
 use sassafrasproxy_wire::{
     ConfigurationHead, ConfigurationRequest, Heartbeat, MemberStatus, NodeHoldings,
     PeerConfiguration, ProbeFor,
@@ -167,12 +167,17 @@
     }
 
     fn status(&self) -> ControlStatus {
+        let me = &self.shared.settings.name;
+        let revision_of = |member: &Member| match member.node == *me {
+            true => self.control.revision(),
+            false => member.revision,
+        };
         let members = self.control.members().present().map(|member| MemberStatus {
             node: member.node.clone(),
             address: member.address.clone(),
             failure_domain: member.failure_domain.clone(),
             state: ecow::eco_format!("{:?}", member.state).to_lowercase(),
-            revision: member.revision,
+            revision: revision_of(member),
         });
         let rejected = self.control.rejected().map(|(_, detail)| detail.clone());
         ControlStatus { members: members.collect(), rejected_revision: rejected }
