Notice callers that hang up, and wait for a status after a hand-over

A caller that hung up left its search running: a test held a slot for 21 s, until the silence bound gave it up. The HTTP server does not drop a handler when its connection closes (seen with a handler of its own, apart from this code), and the peer server takes no notice of notifications, by which a cancel went to the home. Change: a second handle of each caller's connection is looked at while a search runs; cancel is a call; a replica that was handed over keeps its limit but waits for its first status. Measured: a search ends at the upstream at once when its caller hangs up (21 s before); the new test hand_over_first failed with not_held before.

--- a/crates/sassafrasproxy-cli/tests/whole_path.rs
+++ b/crates/sassafrasproxy-cli/tests/whole_path.rs
@@ -2,9 +2,14 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
+use sassafrasproxy_standin::{RunEnd, Straggle, UpstreamFault};
 use sassafrasproxy_wire::{Outcome, Reason};
 use serde_json::json;
-use support::{System, ask, ask_until_full};
+use support::{PATIENCE, System, ask, ask_until_full};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn full_answer() {
@@ -56,6 +61,47 @@
     ask_until_full(system.nodes[1].address(), &["art-archive", "counter-desk"]).await;
 }
 
+// A caller hangs up while its search runs. The upstream's slots would stay taken until the
+// deadline for an answer that nobody reads; the cancellation must go all the way down.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_leaves() {
+    let system = System::start(2).await;
+    let straggle = Some(Straggle { probability: 1.0, factor: 10_000.0 });
+    for node in &system.nodes {
+        ask_until_full(node.address(), &["counter-desk"]).await;
+    }
+    system.upstreams.iter().for_each(|(_, upstream)| {
+        upstream.switch(UpstreamFault::Straggle(straggle));
+    });
+    for node in &system.nodes {
+        let body = json!({ "services": ["counter-desk"], "kind": "search", "body": {} });
+        let node = node.address();
+        let mut call = TcpStream::connect(node).await.unwrap();
+        let text = body.to_string();
+        let head = format!(
+            "POST /v1/query HTTP/1.1\r\nhost: {node}\r\nx-deadline-ms: 60000\r\n\
+             content-length: {}\r\n\r\n",
+            text.len()
+        );
+        call.write_all((head + &text).as_bytes()).await.unwrap();
+        let running = || system.upstreams.iter().map(|(_, one)| one.running()).sum::<u32>();
+        while running() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        drop(call);
+        let end = Instant::now() + PATIENCE;
+        while running() > 0 {
+            assert!(Instant::now() < end, "still running long after its caller left");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    let runs = system.upstreams.iter().flat_map(|(_, upstream)| upstream.runs());
+    let ends: Vec<_> =
+        runs.map(|run| run.end).filter(|end| *end != Some(RunEnd::Answered)).collect();
+    // More than one for each caller would mean that they ended by being given up and sent again.
+    assert_eq!(ends, [Some(RunEnd::Cancelled); 2]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests() {
     let system = System::start(1).await;
@@ -108,16 +154,15 @@
     let node = system.nodes[0].address();
     ask_until_full(node, &["counter-desk"]).await;
     system.upstreams.iter().for_each(|(_, upstream)| {
-        upstream.switch(sassafrasproxy_standin::UpstreamFault::Straggle(Some(
-            sassafrasproxy_standin::Straggle { probability: 1.0, factor: 100.0 },
-        )));
+        let straggle = Straggle { probability: 1.0, factor: 100.0 };
+        upstream.switch(UpstreamFault::Straggle(Some(straggle)));
     });
     let body = json!({ "services": ["counter-desk"], "kind": "search", "body": {} }).to_string();
     let headers = [("x-request-id", "same"), ("x-deadline-ms", "2000")];
     let first = ask(node, body.clone(), &headers);
     let second = async {
         while system.upstreams.iter().all(|(_, upstream)| upstream.running() == 0) {
-            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
         ask(node, body.clone(), &headers).await
     };
--- a/crates/sassafrasproxy-core/src/lane/replica.rs
+++ b/crates/sassafrasproxy-core/src/lane/replica.rs
@@ -60,6 +60,8 @@
     /// Answers since the limit last changed that were as quick as those of a warm replica.
     good_answers: u32,
     limit_changed_us: u64,
+    /// Whether its limit came from its old home before its first status.
+    is_adopted: bool,
     /// Whether its last status said that it is cold.
     says_cold: bool,
     /// How often in a row it died soon after its limit had grown.
@@ -139,6 +141,7 @@
             slow_answers: 0,
             good_answers: 0,
             limit_changed_us: 0,
+            is_adopted: false,
             says_cold: false,
             setbacks: 0,
         }
@@ -311,7 +314,7 @@
     ///
     /// The report can take work away at once. It gives none back by itself: a replica that was
     /// down or leaving starts at a limit of 1 again and earns more by answers.
-    pub fn note_status(&mut self, status: &UpstreamStatus, now_us: u64) -> Change {
+    pub fn note_status(&mut self, status: &UpstreamStatus, slots: u32, now_us: u64) -> Change {
         let was = self.phase;
         let boot_change = self.note_boot(&status.boot_id, now_us);
         self.held.clone_from(&status.snapshots);
@@ -319,6 +322,10 @@
         match (status.state, was) {
             (UpstreamState::Draining, _) => self.note_draining("status"),
             (UpstreamState::Cold, Phase::Serving) => self.turn_cold(now_us, "status"),
+            (_, Phase::Unknown) if self.is_adopted && boot_change == Change::None => {
+                self.phase = if self.limit == slots { Phase::Serving } else { Phase::Cold };
+                Change::Phase("handed_over")
+            }
             (_, Phase::Unknown) => self.turn_cold(now_us, "first_status"),
             (_, Phase::Down) => self.turn_cold(now_us, "reachable"),
             // An old process's "serving" may be a stale report; only a new process is back.
@@ -356,7 +363,9 @@
         self.limit = given.limit.clamp(1, slots);
         self.boot_id.clone_from(&given.boot_id);
         self.limit_changed_us = now_us;
-        if self.limit == slots && matches!(self.phase, Phase::Unknown | Phase::Cold) {
+        // What it holds is known only from its first status; until then its phase is unknown.
+        self.is_adopted = self.phase == Phase::Unknown;
+        if self.limit == slots && self.phase == Phase::Cold {
             self.phase = Phase::Serving;
         }
     }
--- a/crates/sassafrasproxy-core/src/lane/results.rs
+++ b/crates/sassafrasproxy-core/src/lane/results.rs
@@ -155,9 +155,10 @@
             lost_under = std::mem::take(&mut replica.lost_under);
             lost_under.retain(|_| is_death);
         }
+        let slots = self.configuration.policy.slots;
         match report {
             StatusReport::Read(status) => {
-                self.observe(address, |replica| replica.note_status(status, now_us));
+                self.observe(address, |replica| replica.note_status(status, slots, now_us));
             }
             StatusReport::Unreachable => {
                 self.observe(address, Replica::note_unreachable);
--- a/crates/sassafrasproxy-core/tests/home_change.rs
+++ b/crates/sassafrasproxy-core/tests/home_change.rs
@@ -52,6 +52,25 @@
     assert_eq!(new.in_flight(&replica), 1, "until the old home's deadline");
 }
 
+// The hand-over comes before the new home has read any status. A query that is refused then as
+// "not held", though the replica holds the snapshot, is thinner for a planned move.
+#[test]
+fn hand_over_first() {
+    let mut old = Bench::warm();
+    old.step(LaneEvent::LoseHome { me: "vm-1".into() });
+    let mut new = Bench::unheard();
+    new.step(LaneEvent::BecomeHome { view_skew_us: 3_000 * MS });
+    new.step(LaneEvent::HandedOver(old.hand_overs.remove(0)));
+    let key = new.submit();
+    assert!(new.replies.is_empty(), "it waits for a status: {:?}", new.replies);
+    for replica in ["a", "b", "c"] {
+        new.status(replica, UpstreamState::Serving);
+        assert_eq!((new.phase(replica).as_str(), new.limit(replica)), ("serving", 2));
+    }
+    new.end_sub(key, AttemptResult::Answered);
+    assert_eq!(new.replies[&key], SubOutcome::Answered);
+}
+
 // A failure domain goes out and homes move, with one usable replica left. The old home's last
 // send there ends in milliseconds; queries at the new home must not wait for its deadline.
 #[test]
--- /dev/null
+++ b/crates/sassafrasproxy-node/src/callers.rs
@@ -0,0 +1,119 @@
+//! Connections of callers, and how a caller that hangs up is noticed.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use poem::http::uri::Scheme;
+use poem::listener::Acceptor;
+use poem::web::{LocalAddr, RemoteAddr};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// How often a connection that has unread bytes is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// A second handle of each caller's connection, to look for its end while a request runs.
+///
+/// Guards against work that goes on for a caller that has hung up: the HTTP server does not end a
+/// handler when its connection is closed, so upstream slots would stay taken until the deadline.
+#[derive(Debug, Clone, Default)]
+pub struct Callers {
+    open: Arc<Mutex<IndexMap<SocketAddr, Arc<TcpStream>>>>,
+}
+
+impl Callers {
+    /// Waits until a caller has closed its connection.
+    pub async fn gone(&self, caller: Option<SocketAddr>) {
+        let stream = caller.and_then(|caller| self.lock().get(&caller).cloned());
+        let Some(stream) = stream else { return std::future::pending().await };
+        loop {
+            match stream.peek(&mut [0]).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => tokio::time::sleep(LOOK_AGAIN).await,
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<SocketAddr, Arc<TcpStream>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Accepts callers' connections and keeps a second handle of each while it is open.
+pub struct CallerAcceptor {
+    listener: TcpListener,
+    callers: Callers,
+}
+
+impl CallerAcceptor {
+    /// Accepts on a bound socket that does not block.
+    pub fn new(listener: std::net::TcpListener, callers: Callers) -> io::Result<Self> {
+        Ok(Self { listener: TcpListener::from_std(listener)?, callers })
+    }
+}
+
+impl Acceptor for CallerAcceptor {
+    type Io = CallerStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.listener.local_addr().map(|address| LocalAddr(address.into())).into_iter().collect()
+    }
+
+    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        let (stream, caller) = self.listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let local = LocalAddr(stream.local_addr()?.into());
+        let stream = stream.into_std()?;
+        let second = TcpStream::from_std(stream.try_clone()?)?;
+        self.callers.lock().insert(caller, Arc::new(second));
+        let stream = TcpStream::from_std(stream)?;
+        let stream = CallerStream { stream, caller, callers: self.callers.clone() };
+        Ok((stream, local, RemoteAddr(caller.into()), Scheme::HTTP))
+    }
+}
+
+/// A caller's connection; its second handle goes with it.
+pub struct CallerStream {
+    stream: TcpStream,
+    caller: SocketAddr,
+    callers: Callers,
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        self.callers.lock().swap_remove(&self.caller);
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/sassafrasproxy-node/src/http.rs
+++ b/crates/sassafrasproxy-node/src/http.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::answers::{answer_text, answered, refusal, refuse, respond};
+use crate::callers::Callers;
 use crate::control::ControlInput;
 use crate::once::{self, OnceResult};
 use crate::query::{self, QueryJob, QueryResult};
@@ -41,13 +42,14 @@
 /// The state of the HTTP interface.
 pub struct Http {
     shared: Arc<Shared>,
+    callers: Callers,
     /// Ids of the requests that run now.
     running: Mutex<IndexSet<EcoString>>,
 }
 
 /// All routes.
-pub fn routes(shared: Arc<Shared>) -> impl IntoEndpoint {
-    let http = Arc::new(Http { shared, running: Mutex::default() });
+pub fn routes(shared: Arc<Shared>, callers: Callers) -> impl IntoEndpoint {
+    let http = Arc::new(Http { shared, callers, running: Mutex::default() });
     Route::new()
         .at("/v1/query", post(run_query))
         .at("/v1/addresses", get(addresses))
@@ -93,7 +95,14 @@
         let refusal = refusal(checked.job.request_id, Reason::DuplicateRequestId, detail);
         return refuse(&refusal);
     };
-    let result = query::run(&http.shared, &checked.job).await;
+    let caller = request.remote_addr().as_socket_addr().copied();
+    let result = tokio::select! {
+        result = query::run(&http.shared, &checked.job) => result,
+        () = http.callers.gone(caller) => {
+            let detail = "the caller closed its connection".into();
+            return refuse(&refusal(checked.job.request_id, Reason::CallerGone, detail));
+        }
+    };
     respond(checked.job.request_id, &checked.index, result)
 }
 
--- a/crates/sassafrasproxy-node/src/lib.rs
+++ b/crates/sassafrasproxy-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The shells of a node: they turn effects into I/O and I/O into events, and decide nothing.
 
 mod answers;
+mod callers;
 mod claims;
 mod clock;
 mod control;
--- a/crates/sassafrasproxy-node/src/node.rs
+++ b/crates/sassafrasproxy-node/src/node.rs
@@ -8,7 +8,6 @@
 use ecow::{EcoString, eco_format};
 use jsonrpsee::server::ServerHandle;
 use poem::Server;
-use poem::listener::TcpAcceptor;
 use sassafrasproxy_config::Settings;
 use sassafrasproxy_core::{ClaimPolicy, Control, ControlEvent, ControlPolicy};
 use sassafrasproxy_wire::{EventKind, MemberState, MemberUpdate};
@@ -17,6 +16,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::PlatformClient;
+use crate::callers::{CallerAcceptor, Callers};
 use crate::claims::Claims;
 use crate::clock::{Clock, wall_ms};
 use crate::control::{ControlInput, ControlThread};
@@ -185,7 +185,8 @@
 fn serve_http(listener: TcpListener, shared: Arc<Shared>) -> watch::Sender<bool> {
     let (stop, mut stopped) = watch::channel(false);
     tokio::spawn(async move {
-        let acceptor = match TcpAcceptor::from_std(listener) {
+        let callers = Callers::default();
+        let acceptor = match CallerAcceptor::new(listener, callers.clone()) {
             Ok(acceptor) => acceptor,
             Err(error) => return log::error!("cannot serve callers: {error}"),
         };
@@ -193,7 +194,7 @@
             let _ = stopped.wait_for(|is_stopped| *is_stopped).await;
         };
         let server = Server::new_with_acceptor(acceptor);
-        let routes = http::routes(shared);
+        let routes = http::routes(shared, callers);
         if let Err(error) = server.run_with_graceful_shutdown(routes, signal, None).await {
             log::error!("serving callers ended: {error}");
         }
--- a/crates/sassafrasproxy-node/src/peers.rs
+++ b/crates/sassafrasproxy-node/src/peers.rs
@@ -150,10 +150,14 @@
     }
 
     /// Gives up on a sub-request.
-    pub async fn cancel(&self, address: &EcoString, cancel: &CancelRequest) {
-        if let Ok(connection) = self.connect(address).await {
-            let _ = connection.client.notification(CANCEL_METHOD, rpc_params![cancel]).await;
-        }
+    ///
+    /// This is a call, since the server's library takes no notice of notifications.
+    pub async fn cancel(
+        &self,
+        address: &EcoString,
+        cancel: &CancelRequest,
+    ) -> Result<(), PeerError> {
+        self.control_call(address, CANCEL_METHOD, cancel).await
     }
 
     /// Sends a heartbeat and returns the peer's; a silent connection is replaced once.
--- a/crates/sassafrasproxy-wire/src/peer.rs
+++ b/crates/sassafrasproxy-wire/src/peer.rs
@@ -8,7 +8,7 @@
 
 /// The method that asks a home to run a sub-request.
 pub const SUB_REQUEST_METHOD: &str = "sub_request";
-/// The notification that gives up on a sub-request.
+/// The method that gives up on a sub-request.
 pub const CANCEL_METHOD: &str = "cancel";
 /// The method that tells whether a connection still carries anything.
 pub const PING_METHOD: &str = "ping";
@@ -28,7 +28,7 @@
 pub const CLAIM_METHOD: &str = "claim";
 /// The method that records what became of a claimed request.
 pub const RECORD_METHOD: &str = "record";
-/// The notification that a request crashes upstreams.
+/// The method that tells that a request crashes upstreams.
 pub const QUARANTINE_METHOD: &str = "quarantine";
 
 /// One shard's part of a query, sent by the entry node to the shard's home.
