--- a/crates/sassafrasproxy-config/tests/publishing.rs
+++ b/crates/sassafrasproxy-config/tests/publishing.rs
@@ -1,14 +1,13 @@
 //! Publishers that race, die and lose the store's answers.
 //!
-//! The seed is fixed, so that the verdict is the same every time; `PROPTEST_RNG_SEED` and
-//! `PROPTEST_CASES` widen the search.
+//! The seed stands in `.cargo/config.toml`; `PROPTEST_RNG_SEED` and `PROPTEST_CASES` in the
+//! environment widen the search.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use ecow::{EcoString, eco_format};
 use indexmap::IndexMap;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use sassafrasproxy_config::{
     Change, HEAD_KEY, Publish, PublishEnd, PublishEvent, PublishStep, assemble, chunk_key,
     read_head,
@@ -204,22 +203,11 @@
     })
 }
 
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    println!("seed {:?}, {} cases", config.rng_seed, config.cases);
-    config
-}
-
 // Four operators publish at once: two replace the services, two move a failure domain. Answers
 // are lost and publishers die at any step. Whoever is told "done" must find the change in the
 // history exactly once; every head's chunks must be there; nothing accepted may be undone by
 // another's change of something else.
 proptest! {
-    #![proptest_config(config())]
-
     #[test]
     fn races(turns in prop::collection::vec(any_turn(), 0..120)) {
         let mut store = Store::default();
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/claims/log.rs
@@ -0,0 +1,100 @@
+//! The log of one bucket and epoch.
+
+use ecow::{EcoString, eco_format};
+use indexmap::IndexMap;
+use sassafrasproxy_wire::{
+    ClaimAnswer, ClaimRecord, ClaimRequest, ClaimSegment, Ending, RecordRequest,
+};
+
+use super::StoreCall;
+
+/// The log of one epoch.
+#[derive(Debug, Default)]
+pub struct Log {
+    prefix: EcoString,
+    /// The number of the next segment.
+    next: u64,
+    pub holders: IndexMap<EcoString, Holder>,
+    pub is_loaded: bool,
+    pub is_sealed: bool,
+}
+
+/// Who holds a key.
+#[derive(Debug, Clone)]
+pub struct Holder {
+    pub token: EcoString,
+    pub fingerprint: u64,
+    pub ending: Option<Ending>,
+}
+
+impl Log {
+    pub fn new(bucket: u32, epoch: u64) -> Self {
+        Self { prefix: log_prefix(bucket, epoch), ..Self::default() }
+    }
+
+    pub fn list(&self) -> StoreCall {
+        StoreCall::List { prefix: self.prefix.clone() }
+    }
+
+    /// The key of the next segment; padded, so that keys sort as numbers do.
+    pub fn next_key(&self) -> EcoString {
+        eco_format!("{}{:08}", self.prefix, self.next)
+    }
+
+    /// Applies the next segment: the first claim of a key holds it until it is known not to have
+    /// run; a claim after the seal holds nothing.
+    pub fn apply(&mut self, text: &str) {
+        self.next += 1;
+        let Some(segment) = read_segment(text) else { return };
+        for record in segment.records {
+            match record {
+                ClaimRecord::Sealed => self.is_sealed = true,
+                ClaimRecord::Claim(request) if !self.is_sealed => self.hold(request),
+                ClaimRecord::Claim(_) => {}
+                ClaimRecord::Ending(request) => self.end(request),
+            }
+        }
+    }
+
+    fn hold(&mut self, request: ClaimRequest) {
+        let is_free = self
+            .holders
+            .get(&request.key)
+            .is_none_or(|holder| holder.ending == Some(Ending::NotRun));
+        if is_free {
+            let ClaimRequest { key, token, fingerprint } = request;
+            self.holders.insert(key, Holder { token, fingerprint, ending: None });
+        }
+    }
+
+    fn end(&mut self, request: RecordRequest) {
+        if let Some(holder) = self.holders.get_mut(&request.key)
+            && holder.token == request.token
+        {
+            holder.ending.get_or_insert(request.ending);
+        }
+    }
+}
+
+impl Holder {
+    /// What a claim with this token is told.
+    pub fn answer(&self, token: &str) -> ClaimAnswer {
+        if self.token == token && self.ending.is_none() {
+            return ClaimAnswer::Granted;
+        }
+        ClaimAnswer::Held { fingerprint: self.fingerprint, ending: self.ending.clone() }
+    }
+}
+
+/// The prefix of one epoch's log of a bucket.
+pub fn log_prefix(bucket: u32, epoch: u64) -> EcoString {
+    eco_format!("claims/{epoch}/{bucket:02}/")
+}
+
+pub fn read_segment(text: &str) -> Option<ClaimSegment> {
+    serde_json::from_str(text).ok()
+}
+
+pub fn to_json(segment: &ClaimSegment) -> EcoString {
+    serde_json::to_string(segment).expect("claim types always serialize").into()
+}
--- a/crates/sassafrasproxy-core/src/claims.rs
+++ b/crates/sassafrasproxy-core/src/claims/mod.rs
@@ -10,12 +10,17 @@
 //! its own. Guards against nodes whose wall clocks differ at the turn of an epoch: a late writer
 //! finds the seal, so that no key can be claimed once in each.
 
+mod log;
+mod message;
+
 use ecow::{EcoString, eco_format};
-use indexmap::IndexMap;
 use sassafrasproxy_wire::{
     ClaimAnswer, ClaimRecord, ClaimRequest, ClaimSegment, Ending, RecordRequest,
 };
 
+pub use self::message::*;
+
+use self::log::{Holder, Log, log_prefix, read_segment, to_json};
 use crate::hash_name;
 
 /// How many buckets there are; with the pace of each this bounds the writes of the whole fleet.
@@ -35,113 +40,6 @@
     (hash_name(key) % u64::from(BUCKETS)) as u32
 }
 
-/// Times of a bucket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClaimPolicy {
-    /// How long an epoch lasts; a key is kept for one to two of them.
-    pub epoch_ms: u64,
-    /// The least time between two writes of a bucket, on average.
-    pub pace_us: u64,
-    /// How many writes a bucket that was idle may make at once.
-    pub burst: u64,
-    /// How long an ending waits for a claim to be written with.
-    pub ending_us: u64,
-    /// How long the bucket leaves the store alone after calls that failed.
-    pub retry_us: u64,
-}
-
-impl Default for ClaimPolicy {
-    fn default() -> Self {
-        Self {
-            epoch_ms: 12 * 3_600 * 1_000,
-            pace_us: 50_000,
-            burst: 3,
-            ending_us: 250_000,
-            retry_us: 200_000,
-        }
-    }
-}
-
-/// A claim that waits for its answer, numbered by the shell.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Ticket(pub u64);
-
-/// What a bucket takes in.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClaimEvent {
-    /// An entry wants a key.
-    Claim {
-        /// The claim's number.
-        ticket: Ticket,
-        /// The claim.
-        request: ClaimRequest,
-    },
-    /// An entry says what became of a request.
-    Record(RecordRequest),
-    /// The call that ran has ended.
-    Called(StoreResult),
-    /// The time asked for has come.
-    Timer,
-}
-
-/// A call of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreCall {
-    /// Read all keys with a prefix.
-    List {
-        /// The prefix.
-        prefix: EcoString,
-    },
-    /// Read one key.
-    Read {
-        /// The key.
-        key: EcoString,
-    },
-    /// Write a key that must not exist.
-    Write {
-        /// The key.
-        key: EcoString,
-        /// The value.
-        text: EcoString,
-    },
-}
-
-/// What came of a call of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreResult {
-    /// The values of a list, by key.
-    Listed(Vec<EcoString>),
-    /// The value of a key.
-    Found(EcoString),
-    /// The key does not exist.
-    Absent,
-    /// The write took effect.
-    Written,
-    /// The key exists already.
-    Conflict,
-    /// The call failed; a write may have taken effect.
-    Failed,
-}
-
-/// What a bucket asks its shell to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClaimEffect {
-    /// Make a call, and report its result; one runs at a time.
-    Call(StoreCall),
-    /// Answer a claim.
-    Answer {
-        /// The claim.
-        ticket: Ticket,
-        /// The answer.
-        answer: ClaimAnswer,
-    },
-    /// Remove all keys with a prefix; best effort.
-    Purge {
-        /// The prefix.
-        prefix: EcoString,
-    },
-}
-
 /// One bucket at its home, or at a node that could not reach the home.
 #[derive(Debug)]
 pub struct ClaimBucket {
@@ -169,25 +67,6 @@
     effects: Vec<ClaimEffect>,
 }
 
-/// The log of one epoch.
-#[derive(Debug, Default)]
-struct Log {
-    prefix: EcoString,
-    /// The number of the next segment.
-    next: u64,
-    holders: IndexMap<EcoString, Holder>,
-    is_loaded: bool,
-    is_sealed: bool,
-}
-
-/// Who holds a key.
-#[derive(Debug, Clone)]
-struct Holder {
-    token: EcoString,
-    fingerprint: u64,
-    ending: Option<Ending>,
-}
-
 #[derive(Debug)]
 struct Waiting {
     record: ClaimRecord,
@@ -491,65 +370,6 @@
     }
 }
 
-impl Log {
-    fn new(bucket: u32, epoch: u64) -> Self {
-        Self { prefix: log_prefix(bucket, epoch), ..Self::default() }
-    }
-
-    fn list(&self) -> StoreCall {
-        StoreCall::List { prefix: self.prefix.clone() }
-    }
-
-    /// The key of the next segment; padded, so that keys sort as numbers do.
-    fn next_key(&self) -> EcoString {
-        eco_format!("{}{:08}", self.prefix, self.next)
-    }
-
-    /// Applies the next segment: the first claim of a key holds it until it is known not to have
-    /// run; a claim after the seal holds nothing.
-    fn apply(&mut self, text: &str) {
-        self.next += 1;
-        let Some(segment) = read_segment(text) else { return };
-        for record in segment.records {
-            match record {
-                ClaimRecord::Sealed => self.is_sealed = true,
-                ClaimRecord::Claim(request) if !self.is_sealed => self.hold(request),
-                ClaimRecord::Claim(_) => {}
-                ClaimRecord::Ending(request) => self.end(request),
-            }
-        }
-    }
-
-    fn hold(&mut self, request: ClaimRequest) {
-        let is_free = self
-            .holders
-            .get(&request.key)
-            .is_none_or(|holder| holder.ending == Some(Ending::NotRun));
-        if is_free {
-            let ClaimRequest { key, token, fingerprint } = request;
-            self.holders.insert(key, Holder { token, fingerprint, ending: None });
-        }
-    }
-
-    fn end(&mut self, request: RecordRequest) {
-        if let Some(holder) = self.holders.get_mut(&request.key)
-            && holder.token == request.token
-        {
-            holder.ending.get_or_insert(request.ending);
-        }
-    }
-}
-
-impl Holder {
-    /// What a claim with this token is told.
-    fn answer(&self, token: &str) -> ClaimAnswer {
-        if self.token == token && self.ending.is_none() {
-            return ClaimAnswer::Granted;
-        }
-        ClaimAnswer::Held { fingerprint: self.fingerprint, ending: self.ending.clone() }
-    }
-}
-
 /// How many records go in the next batch: as many as its size allows, and one at least.
 fn batch_len(waiting: &[Waiting]) -> usize {
     let mut bytes = 0;
@@ -572,16 +392,3 @@
     };
     text + RECORD_OVERHEAD_BYTES
 }
-
-/// The prefix of one epoch's log of a bucket.
-fn log_prefix(bucket: u32, epoch: u64) -> EcoString {
-    eco_format!("claims/{epoch}/{bucket:02}/")
-}
-
-fn read_segment(text: &str) -> Option<ClaimSegment> {
-    serde_json::from_str(text).ok()
-}
-
-fn to_json(segment: &ClaimSegment) -> EcoString {
-    serde_json::to_string(segment).expect("claim types always serialize").into()
-}
--- a/crates/sassafrasproxy-core/src/lane/budget.rs
+++ b/crates/sassafrasproxy-core/src/lane/budget.rs
@@ -11,8 +11,10 @@
 
 impl ExtraBudget {
     /// A budget of `fraction` extra sends for each base send, of which `cap` may be saved.
+    ///
+    /// It starts full, so that a home that has just taken over can repeat what a crash lost.
     pub fn new(fraction: f64, cap: f64) -> Self {
-        Self { tokens: 0.0, fraction, cap }
+        Self { tokens: if fraction > 0.0 { cap } else { 0.0 }, fraction, cap }
     }
 
     /// Counts one base send.
--- a/crates/sassafrasproxy-core/src/lane/dispatch.rs
+++ b/crates/sassafrasproxy-core/src/lane/dispatch.rs
@@ -187,9 +187,8 @@
             is_cancelling: false,
         };
         self.attempts.insert(id, attempt);
-        let generation = replica.generation;
         let replica = address.clone();
-        self.effects.push(LaneEffect::Send { attempt: id, sub: key, replica, generation });
+        self.effects.push(LaneEffect::Send { attempt: id, sub: key, replica });
     }
 
     /// Starts second tries for sub-requests that take longer than usual.
--- a/crates/sassafrasproxy-core/src/lane/message.rs
+++ b/crates/sassafrasproxy-core/src/lane/message.rs
@@ -249,8 +249,6 @@
         sub: SubKey,
         /// The replica.
         replica: EcoString,
-        /// The generation of connections to use.
-        generation: u64,
     },
     /// Tell the replica to stop a send, then report it cancelled.
     Cancel {
--- a/crates/sassafrasproxy-core/tests/bench/mod.rs
+++ b/crates/sassafrasproxy-core/tests/bench/mod.rs
@@ -108,7 +108,7 @@
     pub fn step(&mut self, event: LaneEvent) {
         for effect in self.lane.step(self.now_us, event) {
             match effect {
-                LaneEffect::Send { attempt, sub, replica, .. } => {
+                LaneEffect::Send { attempt, sub, replica } => {
                     self.sends.push((replica.clone(), sub));
                     self.open.insert(attempt, (replica, sub));
                 }
--- a/crates/sassafrasproxy-core/tests/claims.rs
+++ b/crates/sassafrasproxy-core/tests/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of request keys, at any nodes and whatever the store does.
 //!
-//! The seed is fixed, so that the verdict is the same every time; `PROPTEST_RNG_SEED` and
-//! `PROPTEST_CASES` widen the search.
+//! The seed stands in `.cargo/config.toml`; `PROPTEST_RNG_SEED` and `PROPTEST_CASES` in the
+//! environment widen the search.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -10,7 +10,6 @@
 use ecow::{EcoString, eco_format};
 use indexmap::{IndexMap, IndexSet};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use sassafrasproxy_core::{
     ClaimBucket, ClaimEffect, ClaimEvent, ClaimPolicy, StoreCall, StoreResult, Ticket,
 };
@@ -313,22 +312,11 @@
     ]
 }
 
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    println!("seed {:?}, {} cases", config.rng_seed, config.cases);
-    config
-}
-
 // Three nodes each believe to be the bucket's home. Callers send the same few orders again and
 // again through all of them, while nodes are killed, answers of the store are lost or come late,
 // and epochs turn. No order may be granted to a second run while the first may have run. Runs
 // are kept within the two epochs for which a key is kept.
 proptest! {
-    #![proptest_config(config())]
-
     #[test]
     fn any_views(turns in prop::collection::vec(any_turn(), 1..150)) {
         let mut world = World::new(3);
--- a/crates/sassafrasproxy-core/tests/two_faults.rs
+++ b/crates/sassafrasproxy-core/tests/two_faults.rs
@@ -1,14 +1,13 @@
 //! Any faults together, in any order: what must hold of a lane at every step.
 //!
-//! `proptest` prints the shortest failing run. The seed is fixed, so that the verdict is the same
-//! every time; `PROPTEST_RNG_SEED` and `PROPTEST_CASES` widen the search.
+//! `proptest` prints the shortest failing run. The seed stands in `.cargo/config.toml`;
+//! `PROPTEST_RNG_SEED` and `PROPTEST_CASES` in the environment widen the search.
 
 mod bench;
 
 use bench::{Bench, MS, SNAPSHOT};
 use indexmap::IndexMap;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use sassafrasproxy_core::{AttemptResult, LaneEvent, StatusReport, SubKey};
 use sassafrasproxy_wire::{Reason, SubOutcome, UpstreamState};
 
@@ -213,18 +212,7 @@
     )
 }
 
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    println!("seed {:?}, {} cases", config.rng_seed, config.cases);
-    config
-}
-
 proptest! {
-    #![proptest_config(config())]
-
     #[test]
     fn any_order(is_warm: bool, steps in prop::collection::vec(any_step(), 1..120)) {
         let bench = if is_warm { Bench::warm() } else { Bench::cold() };
--- a/crates/sassafrasproxy-node/src/answers.rs
+++ b/crates/sassafrasproxy-node/src/answers.rs
@@ -74,7 +74,6 @@
     let may_pass = matches!(
         reason,
         Reason::NoConfiguration
-            | Reason::ShuttingDown
             | Reason::ClaimUnavailable
             | Reason::KeyUsed
             | Reason::DuplicateRequestId
--- a/crates/sassafrasproxy-node/src/lane.rs
+++ b/crates/sassafrasproxy-node/src/lane.rs
@@ -271,7 +271,7 @@
 
     fn carry_out(&mut self, effect: LaneEffect, body: &mut Option<Body>) {
         match effect {
-            LaneEffect::Send { attempt, sub, replica, .. } => {
+            LaneEffect::Send { attempt, sub, replica } => {
                 self.send(attempt, sub, replica);
             }
             LaneEffect::Cancel { attempt } => self.cancel(attempt),
--- a/crates/sassafrasproxy-wire/src/caller.rs
+++ b/crates/sassafrasproxy-wire/src/caller.rs
@@ -140,8 +140,6 @@
     ClaimUnavailable,
     /// No configuration is in force yet.
     NoConfiguration,
-    /// The node is shutting down.
-    ShuttingDown,
     /// No replica that may be used holds the shard.
     NoReplica,
     /// No replica holds the snapshot.
