Switch upstream faults over HTTP, and test metrics as they arrive

Change: POST /standin/fault; a test with a statsd socket, and one that switches faults of platform and upstream over HTTP.

--- a/crates/sassafrasproxy-cli/tests/support/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/support/mod.rs
@@ -27,6 +27,8 @@
     /// Each replica with its service.
     pub upstreams: Vec<(String, UpstreamStandIn)>,
     pub nodes: Vec<NodeProcess>,
+    /// Where nodes that start from now on send their metrics.
+    pub statsd: Option<SocketAddr>,
 }
 
 impl System {
@@ -57,7 +59,7 @@
         let client = PlatformClient::new(platform.url()).unwrap();
         let change = Change::Services { services, expect: None };
         publish(&client, change, "test".into(), |_| {}).await;
-        let mut system = Self { platform, upstreams, nodes: Vec::new() };
+        let mut system = Self { platform, upstreams, nodes: Vec::new(), statsd: None };
         for number in 0..nodes {
             system.add_node(number);
         }
@@ -76,6 +78,7 @@
             "platform": self.platform.url(),
             "seeds": seeds,
             "address_keep_ms": 200,
+            "statsd": self.statsd,
         });
         let node = NodeProcess::start(binary(), &settings.to_string()).unwrap();
         self.nodes.push(node);
--- a/crates/sassafrasproxy-cli/tests/whole_path.rs
+++ b/crates/sassafrasproxy-cli/tests/whole_path.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use support::{PATIENCE, System, ask, ask_until_full};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UdpSocket};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn full_answer() {
@@ -102,6 +102,63 @@
     assert_eq!(ends, [Some(RunEnd::Cancelled); 2]);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics() {
+    let statsd = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut system = System::start(0).await;
+    system.statsd = Some(statsd.local_addr().unwrap());
+    system.add_node(0);
+    let node = system.nodes[0].address();
+    ask_until_full(node, &["art-archive"]).await;
+    let unknown = json!({ "services": ["art-archive"], "kind": "fly", "body": {} });
+    ask(node, unknown.to_string(), &[]).await.unwrap_err();
+    let mut wanted = vec![
+        "sassafrasproxy.queries:1|c|#node:vm-0,outcome:answered",
+        "sassafrasproxy.query_ms:",
+        "sassafrasproxy.coverage_ratio:1",
+        "sassafrasproxy.sub_requests:1|c",
+        "sassafrasproxy.upstream_sends:1|c",
+    ];
+    let mut buffer = [0; 2_048];
+    let all = async {
+        while !wanted.is_empty() {
+            // The buffer is sent when it is full, so something must go on.
+            ask_until_full(node, &["art-archive"]).await;
+            while let Ok(length) = statsd.try_recv(&mut buffer) {
+                let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
+                wanted.retain(|name| !text.lines().any(|line| line.starts_with(name)));
+            }
+        }
+    };
+    assert!(tokio::time::timeout(PATIENCE, all).await.is_ok(), "never sent: {wanted:?}");
+}
+
+// Faults of the stand-ins can be switched from outside as well, for tests by hand.
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_over_http() {
+    let system = System::start(1).await;
+    let node = system.nodes[0].address();
+    ask_until_full(node, &["counter-desk"]).await;
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let outage = json!({ "outage": "fail" });
+    let url = format!("{}/standin/faults", system.platform.url());
+    let response = client.post(url).json(&outage).send().await.unwrap();
+    assert!(response.status().is_success());
+    let reorder = json!({ "services": ["counter-desk"], "kind": "reorder", "body": {} });
+    let headers = [("x-request-id", "order-1")];
+    let (_, refusal) = ask(node, reorder.to_string(), &headers).await.unwrap_err();
+    assert_eq!(refusal.reason, Reason::ClaimUnavailable);
+    for (service, upstream) in &system.upstreams {
+        let url = format!("http://{}/standin/fault", upstream.address());
+        let fault = json!({ "shed": service == "counter-desk" });
+        let response = client.post(url).json(&fault).send().await.unwrap();
+        assert!(response.status().is_success());
+    }
+    let search = json!({ "services": ["counter-desk"], "kind": "search", "body": {} });
+    let (status, refusal) = ask(node, search.to_string(), &[]).await.unwrap_err();
+    assert_eq!((status, refusal.reason, refusal.outcome), (429, Reason::Shed, Outcome::NotRun));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests() {
     let system = System::start(1).await;
--- a/crates/sassafrasproxy-standin/src/upstream/mod.rs
+++ b/crates/sassafrasproxy-standin/src/upstream/mod.rs
@@ -247,11 +247,21 @@
     match (request.method().clone(), path.as_str()) {
         (Method::POST, "/query") => query(shared, request).await,
         (Method::GET, "/status") => shared.status(),
+        (Method::POST, "/standin/fault") => switch(shared, request).await,
         (Method::DELETE, path) => shared.cancel(path.trim_start_matches("/query/")).await,
         _ => plain(StatusCode::NOT_FOUND),
     }
 }
 
+/// Switches a fault that came over HTTP.
+async fn switch(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let body = request.into_body().collect().await.map(http_body_util::Collected::to_bytes);
+    let fault = body.ok().and_then(|body| serde_json::from_slice::<UpstreamFault>(&body).ok());
+    let Some(fault) = fault else { return plain(StatusCode::BAD_REQUEST) };
+    shared.switch(fault);
+    plain(StatusCode::OK)
+}
+
 /// Runs a query.
 async fn query(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
     let header = |name: &str| {
--- a/crates/sassafrasproxy-standin/src/upstream/setup.rs
+++ b/crates/sassafrasproxy-standin/src/upstream/setup.rs
@@ -2,6 +2,7 @@
 
 use ecow::EcoString;
 use sassafrasproxy_wire::{HeldSnapshot, SnapshotId, UpstreamStatus};
+use serde::{Deserialize, Serialize};
 
 /// What an upstream is like.
 #[derive(Debug, Clone)]
@@ -39,6 +40,7 @@
 
 /// Requests that take far longer than others.
 #[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub struct Straggle {
     /// How many of them, 0 to 1.
     pub probability: f64,
@@ -46,8 +48,11 @@
     pub factor: f64,
 }
 
-/// A fault or change that is switched on a running upstream.
+/// A fault or change that is switched on a running upstream, by a call or by
+/// `POST /standin/fault`.
 #[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum UpstreamFault {
     /// The process dies and starts again after a time.
     Crash {
