Prove over processes that a leaving upstream gets no new work

Cause: only the lane's own test covered the three sources; none went through status reads, answer headers and the platform's list over sockets. Change: a test that lets each source alone say so, under load. Conclusion: the time from the word to the last new work is not measured yet.

--- a/crates/sassafrasproxy-cli/tests/moves.rs
+++ b/crates/sassafrasproxy-cli/tests/moves.rs
@@ -11,7 +11,8 @@
 
 use sassafrasproxy_config::{Change, PublishEnd};
 use sassafrasproxy_node::{PlatformClient, publish};
-use sassafrasproxy_wire::{AddressList, NodeStatus};
+use sassafrasproxy_standin::UpstreamFault;
+use sassafrasproxy_wire::{AddressList, NodeStatus, ReplicaStatus, VmEntry, VmState};
 use serde_json::json;
 use support::{DOMAINS, PATIENCE, System, ask, ask_until_full};
 use tokio::task::JoinHandle;
@@ -45,7 +46,7 @@
     reqwest::get(url).await.unwrap().json().await.unwrap()
 }
 
-async fn status(node: SocketAddr) -> NodeStatus {
+async fn status_of(node: SocketAddr) -> NodeStatus {
     let url = format!("http://{node}/v1/status");
     reqwest::get(url).await.unwrap().json().await.unwrap()
 }
@@ -81,9 +82,9 @@
     let end = publish(&platform, out, "test".into(), |_| {}).await;
     assert_eq!(end, PublishEnd::Done { revision: 2 });
     for node in &nodes {
-        until("the revision is in force", || async { status(*node).await.revision == 2 }).await;
+        until("the revision is in force", || async { status_of(*node).await.revision == 2 }).await;
         until("its homes have moved", || async {
-            let homes = status(*node).await.homes;
+            let homes = status_of(*node).await.homes;
             homes.iter().all(|home| home.home.as_deref() != Some("vm-1"))
         })
         .await;
@@ -110,6 +111,49 @@
     }
 }
 
+// An upstream is about to be taken away, and only one source says so: its status, its answers, or
+// the platform's list. It must get no new work soon, and no search may be lost for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream() {
+    let status = UpstreamFault::Drain { in_status: true, in_answers: false };
+    let answers = UpstreamFault::Drain { in_status: false, in_answers: true };
+    for (source, fault) in [("status", Some(status)), ("answers", Some(answers)), ("list", None)] {
+        let system = start().await;
+        let node = system.nodes[0].address();
+        let (stop, asker) = keep_asking(node);
+        let (_, leaver) = &system.upstreams[0];
+        match fault {
+            Some(fault) => leaver.switch(fault),
+            None => system.platform.set_vms(vec![VmEntry {
+                address: leaver.address().to_string().into(),
+                failure_domain: DOMAINS[0].into(),
+                state: VmState::Leaving,
+            }]),
+        }
+        let name = leaver.address().to_string();
+        until("its home knows", || async {
+            let mut known = false;
+            for node in &system.nodes {
+                let replicas = status_of(node.address()).await.replicas;
+                let is_it = |one: &ReplicaStatus| one.address == name.as_str();
+                let phase = replicas.into_iter().find(is_it).map(|one| one.phase);
+                known |= phase.is_some_and(|phase| phase == "draining" || phase == "vm_leaving");
+            }
+            known
+        })
+        .await;
+        until("running work ends", || async { leaver.running() == 0 }).await;
+        let before = leaver.run_count();
+        for _ in 0..20 {
+            ask_until_full(node, &["art-archive"]).await;
+        }
+        assert_eq!(leaver.run_count(), before, "{source}: new work");
+        stop.store(true, Ordering::Relaxed);
+        let (count, failures) = asker.await.unwrap();
+        assert!(failures.is_empty(), "{source}: {} of {count}", failures.len());
+    }
+}
+
 // A VM is replaced as planned. Callers that still use its address must be served until they have
 // moved on, nothing may be lost, and the process ends well; an impatient second signal changes
 // nothing.
@@ -135,7 +179,7 @@
     assert!(system.nodes[2].wait().unwrap().success());
     for node in &nodes[..2] {
         until("its homes have moved", || async {
-            let homes = status(*node).await.homes;
+            let homes = status_of(*node).await.homes;
             homes.iter().all(|home| home.home.as_deref() != Some("vm-2"))
         })
         .await;
