Wait for sends on their way before counting new work in the tests of moves

Ruled out: new work, since the home knew already and sent no more in the run. domain_out_and_in counted the same way. Change: both wait until the count has stood still for 100 ms with nothing running. The check after that is the same and as strict: a replica that still got work would never stand still under load. Conclusion: a fault of the test, not of the lane.

--- a/crates/sassafrasproxy-cli/tests/moves.rs
+++ b/crates/sassafrasproxy-cli/tests/moves.rs
@@ -11,7 +11,7 @@
 
 use sassafrasproxy_config::{Change, PublishEnd};
 use sassafrasproxy_node::{PlatformClient, publish};
-use sassafrasproxy_standin::UpstreamFault;
+use sassafrasproxy_standin::{UpstreamFault, UpstreamStandIn};
 use sassafrasproxy_wire::{AddressList, NodeStatus, ReplicaStatus, VmEntry, VmState};
 use serde_json::json;
 use support::{DOMAINS, PATIENCE, System, ask, ask_until_full};
@@ -61,6 +61,19 @@
     assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "{what}");
 }
 
+/// Waits until what was sent before the word came has arrived and ended.
+///
+/// Nothing running at one moment is not enough: a send may still be on its way.
+async fn until_quiet(upstreams: &[&UpstreamStandIn]) {
+    until("what was sent has ended", || async {
+        let count = || upstreams.iter().map(|one| one.run_count()).sum::<u64>();
+        let before = count();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        count() == before && upstreams.iter().all(|one| one.running() == 0)
+    })
+    .await;
+}
+
 async fn start() -> System {
     let system = System::start(3).await;
     for node in &system.nodes {
@@ -94,7 +107,7 @@
     // The second replica of each service is in the domain; what runs there may end.
     let in_domain: Vec<_> =
         system.upstreams.iter().skip(1).step_by(2).map(|(_, upstream)| upstream).collect();
-    until("running work ends", || async { in_domain.iter().all(|one| one.running() == 0) }).await;
+    until_quiet(&in_domain).await;
     let before: u64 = in_domain.iter().map(|one| one.run_count()).sum();
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(in_domain.iter().map(|one| one.run_count()).sum::<u64>(), before, "new work");
@@ -142,7 +155,7 @@
             known
         })
         .await;
-        until("running work ends", || async { leaver.running() == 0 }).await;
+        until_quiet(&[leaver]).await;
         let before = leaver.run_count();
         for _ in 0..20 {
             ask_until_full(node, &["art-archive"]).await;
