--- a/crates/sassafrasproxy-core/src/lane/latency.rs
+++ b/crates/sassafrasproxy-core/src/lane/latency.rs
@@ -1,5 +1,7 @@
 //! Latencies seen lately.
 
+use std::cell::RefCell;
+
 use hdrhistogram::Histogram;
 
 /// How many latencies a half window holds before the older half is forgotten.
@@ -17,17 +19,20 @@
     current: Histogram<u32>,
     /// Both halves together, so that a quantile needs one read; rebuilt at each turn.
     both: Histogram<u32>,
+    /// Quantiles read since the last latency came; reading one scans the histogram.
+    read: RefCell<Vec<(f64, u64)>>,
 }
 
 impl Default for LatencyWindow {
     fn default() -> Self {
-        Self { current: empty(), both: empty() }
+        Self { current: empty(), both: empty(), read: RefCell::default() }
     }
 }
 
 impl LatencyWindow {
     /// Adds a latency in microseconds.
     pub fn record(&mut self, latency_us: u64) {
+        self.read.get_mut().clear();
         self.current.saturating_record(latency_us.max(1));
         self.both.saturating_record(latency_us.max(1));
         if self.current.len() < HALF_WINDOW_COUNT {
@@ -38,7 +43,16 @@
 
     /// The latency in microseconds below which the fraction `quantile` lies, once enough were seen.
     pub fn quantile_us(&self, quantile: f64) -> Option<u64> {
-        (self.both.len() >= MIN_COUNT).then(|| self.both.value_at_quantile(quantile))
+        if self.both.len() < MIN_COUNT {
+            return None;
+        }
+        let mut read = self.read.borrow_mut();
+        if let Some((_, value_us)) = read.iter().find(|(known, _)| *known == quantile) {
+            return Some(*value_us);
+        }
+        let value_us = self.both.value_at_quantile(quantile);
+        read.push((quantile, value_us));
+        Some(value_us)
     }
 }
 
