--- a/crates/sassafrasproxy-cli/src/args.rs
+++ b/crates/sassafrasproxy-cli/src/args.rs
@@ -21,6 +21,15 @@
                 .about("Run a node until SIGTERM or SIGINT, then shut down gracefully")
                 .arg(path("settings", "The node's settings file, in YAML").required(true)),
         )
+        .subcommand(
+            Command::new("gateway")
+                .about("Run a gateway for opaque requests until SIGTERM or SIGINT")
+                .arg(
+                    path("settings", "The gateway's settings file, in YAML")
+                        .env("SASSAFRASPROXY_CONFIG")
+                        .required(true),
+                ),
+        )
         .subcommand(
             Command::new("check")
                 .about("Check the service files below some directories")
--- /dev/null
+++ b/crates/sassafrasproxy-cli/src/gateway.rs
@@ -0,0 +1,37 @@
+//! `gateway`: a node that forwards opaque requests, from its settings to its graceful end.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use sassafrasproxy_config::GatewaySettings;
+use sassafrasproxy_gateway::Gateway;
+
+use crate::end::End;
+use crate::logging::{self, LogOutput};
+
+/// Runs a gateway.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        eprintln!("error: no settings file is named; give one with --settings");
+        return End::Usage.into();
+    };
+    let settings = match GatewaySettings::load(path) {
+        Ok(settings) => settings,
+        Err(problem) => {
+            eprintln!("error: {problem}");
+            return End::Usage.into();
+        }
+    };
+    if let Err(error) = logging::start(LogOutput::Stdout) {
+        eprintln!("error: cannot start the thread for logs: {error}");
+        return End::Refused.into();
+    }
+    match Gateway::new(settings).run() {
+        Ok(()) => End::Done.into(),
+        Err(error) => {
+            eprintln!("error: {error}");
+            End::Refused.into()
+        }
+    }
+}
--- a/crates/sassafrasproxy-cli/src/logging.rs
+++ b/crates/sassafrasproxy-cli/src/logging.rs
@@ -1,17 +1,44 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
 
-use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::sleep;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use env_logger::{Builder, Env};
+use env_logger::{Builder, Env, Target};
 use serde_json::json;
 
 /// The log target whose messages are JSON already.
 const TIMELINE_TARGET: &str = "timeline";
 
+/// How many lines may wait to be written; further ones are dropped and counted.
+///
+/// At 150 bytes a line this is 300 KB, and some seconds of a busy node.
+const MAX_WAITING: usize = 2_048;
+
+/// How often waiting lines are written, so that one wake-up serves many.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Lines that were dropped and not yet told of.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Where logs go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogOutput {
+    /// To standard error, each line at once: for commands that end soon.
+    Stderr,
+    /// To standard output, by a thread of its own: a reader that stalls costs lines, not requests.
+    Stdout,
+}
+
 /// Starts logging; `RUST_LOG` sets the level, `info` if absent.
-pub fn start() {
-    Builder::from_env(Env::default().default_filter_or("info"))
+pub fn start(output: LogOutput) -> io::Result<()> {
+    let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
+    if output == LogOutput::Stdout {
+        builder.target(Target::Pipe(Box::new(LineQueue::start()?)));
+    }
+    builder
         .format(|buffer, record| {
             let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let message = record.args().to_string();
@@ -27,4 +54,52 @@
             writeln!(buffer, "{line}")
         })
         .init();
+    Ok(())
+}
+
+/// Takes lines without ever blocking, and hands them to a thread that writes them.
+struct LineQueue {
+    lines: SyncSender<Vec<u8>>,
+}
+
+impl LineQueue {
+    fn start() -> io::Result<Self> {
+        let (lines, waiting) = sync_channel(MAX_WAITING);
+        std::thread::Builder::new().name("logs".into()).spawn(move || write_lines(&waiting))?;
+        Ok(Self { lines })
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.lines.try_send(line.to_vec()).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes what waits, some times a second, until the process ends.
+fn write_lines(waiting: &Receiver<Vec<u8>>) {
+    while let Ok(first) = waiting.recv() {
+        let mut batch = first;
+        for line in waiting.try_iter() {
+            batch.extend_from_slice(&line);
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = json!({ "level": "WARN", "target": "logs", "dropped_lines": dropped });
+            batch.extend_from_slice(format!("{line}\n").as_bytes());
+        }
+        let mut stdout = io::stdout().lock();
+        if stdout.write_all(&batch).and_then(|()| stdout.flush()).is_err() {
+            // Nobody reads: there is no other place to say so.
+            return;
+        }
+        sleep(WRITE_INTERVAL);
+    }
 }
--- a/crates/sassafrasproxy-cli/src/main.rs
+++ b/crates/sassafrasproxy-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod end;
+mod gateway;
 mod inspect;
 mod logging;
 mod publishing;
@@ -13,10 +14,17 @@
 use clap::ArgMatches;
 
 use crate::end::End;
+use crate::logging::LogOutput;
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
-    logging::start();
+    if let Some(("gateway", matches)) = matches.subcommand() {
+        return gateway::run(matches);
+    }
+    if let Err(error) = logging::start(LogOutput::Stderr) {
+        eprintln!("cannot start: {error}");
+        return End::Refused.into();
+    }
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/sassafrasproxy-node/src/clock.rs
+++ b/crates/sassafrasproxy-clock/src/lib.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
-use sassafrasproxy_core::US_PER_MS;
 
 /// A monotonic clock in microseconds since the node's start.
 ///
@@ -36,7 +35,7 @@
 /// The wall time in milliseconds since 1970.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_micros() as u64 / US_PER_MS
+    since.as_millis() as u64
 }
 
 /// The time since the VM booted, suspensions included.
--- /dev/null
+++ b/crates/sassafrasproxy-config/src/gateway.rs
@@ -0,0 +1,203 @@
+//! The settings of a gateway: a node that forwards opaque requests over routes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use ecow::EcoString;
+use serde::Deserialize;
+use serde_saphyr::{Location, Spanned};
+
+use crate::Problem;
+use crate::problem::read_yaml;
+
+/// What to do about a settings file that cannot be read.
+const HINT: &str = "see docs/OPERATIONS.md for the fields of a gateway's settings";
+
+/// The longest that callers may be told to keep an address list, in milliseconds.
+const MAX_ADDRESS_KEEP_MS: u64 = 600_000;
+
+/// The checked settings of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// The node's name; unique over all nodes.
+    pub name: EcoString,
+    /// The failure domain that the node is in.
+    pub failure_domain: EcoString,
+    /// Where callers connect, and what the directory tells them.
+    pub callers_listen: SocketAddr,
+    /// Where the readiness check connects.
+    pub ready_listen: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory_listen: SocketAddr,
+    /// Where peers send heartbeats, over UDP, and read facts, over TCP.
+    pub peer_listen: SocketAddr,
+    /// Where metrics are read, if anywhere.
+    pub metrics_listen: Option<SocketAddr>,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+    /// Peer addresses to try before any member is known.
+    pub seeds: Vec<SocketAddr>,
+    /// How long callers may keep an address list, in milliseconds.
+    pub address_keep_ms: u64,
+    /// How long a process may take from SIGTERM to its end, in milliseconds.
+    pub grace_ms: u64,
+    /// What all nodes together may send beyond the first send of each request.
+    pub retry_budget: RetryBudgetSettings,
+    /// How far a cold replica's declared rate may be exceeded.
+    pub warmup: WarmupSettings,
+}
+
+/// What all nodes together may send beyond the first send of each request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetryBudgetSettings {
+    /// As a fraction of the requests for a service, 0 or more.
+    pub ratio: f64,
+    /// And so many in each window besides.
+    pub fixed: f64,
+    /// The window, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// How far a cold replica's declared rate may be exceeded, over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmupSettings {
+    /// By this factor.
+    pub factor: f64,
+    /// And by so many requests a second besides.
+    pub slack: f64,
+}
+
+/// The settings as they stand in the file.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GatewayFile {
+    name: Spanned<EcoString>,
+    failure_domain: Spanned<EcoString>,
+    callers_listen: Spanned<EcoString>,
+    ready_listen: Spanned<EcoString>,
+    directory_listen: Spanned<EcoString>,
+    peer_listen: Spanned<EcoString>,
+    metrics_listen: Option<Spanned<EcoString>>,
+    store: Spanned<EcoString>,
+    #[serde(default)]
+    seeds: Vec<Spanned<EcoString>>,
+    address_keep_ms: Spanned<u64>,
+    grace_ms: Spanned<u64>,
+    retry_budget: Spanned<RetryBudgetSettings>,
+    warmup: Spanned<WarmupSettings>,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, Problem> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            Problem::whole(&file, error.to_string(), "name a file that can be read")
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a settings file; `file` is its name in problems.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Problem> {
+        let raw: GatewayFile = read_yaml(file, text, HINT)?;
+        let socket = |field: &str, value: &Spanned<EcoString>| address(file, field, value);
+        let seeds: Result<Vec<SocketAddr>, Problem> =
+            raw.seeds.iter().map(|seed| socket("seeds", seed)).collect();
+        let metrics = raw.metrics_listen.as_ref();
+        Ok(Self {
+            name: filled(file, "name", &raw.name)?,
+            failure_domain: filled(file, "failure_domain", &raw.failure_domain)?,
+            callers_listen: socket("callers_listen", &raw.callers_listen)?,
+            ready_listen: socket("ready_listen", &raw.ready_listen)?,
+            directory_listen: socket("directory_listen", &raw.directory_listen)?,
+            peer_listen: socket("peer_listen", &raw.peer_listen)?,
+            metrics_listen: metrics.map(|at| socket("metrics_listen", at)).transpose()?,
+            store: socket("store", &raw.store)?,
+            seeds: seeds?,
+            address_keep_ms: between(
+                file,
+                "address_keep_ms",
+                &raw.address_keep_ms,
+                1,
+                MAX_ADDRESS_KEEP_MS,
+            )?,
+            grace_ms: between(file, "grace_ms", &raw.grace_ms, 1, u64::MAX)?,
+            retry_budget: retry_budget(file, &raw.retry_budget)?,
+            warmup: warmup(file, &raw.warmup)?,
+        })
+    }
+}
+
+/// A text that must not be empty.
+pub(crate) fn filled(
+    file: &str,
+    field: &str,
+    value: &Spanned<EcoString>,
+) -> Result<EcoString, Problem> {
+    if value.value.trim().is_empty() {
+        let message = format!("`{field}` is empty");
+        return Err(Problem::new(file, value.referenced, message, "give it a name"));
+    }
+    Ok(value.value.clone())
+}
+
+/// An address by IP number.
+pub(crate) fn address(
+    file: &str,
+    field: &str,
+    value: &Spanned<EcoString>,
+) -> Result<SocketAddr, Problem> {
+    value.value.parse().map_err(|_| {
+        let message = format!("`{field}` is `{}`, which is no address", value.value);
+        Problem::new(file, value.referenced, message, "write IP number and port, as 127.0.0.1:7001")
+    })
+}
+
+/// A number within bounds, both included.
+pub(crate) fn between(
+    file: &str,
+    field: &str,
+    value: &Spanned<u64>,
+    least: u64,
+    most: u64,
+) -> Result<u64, Problem> {
+    if value.value < least || value.value > most {
+        let message = format!("`{field}` is {}", value.value);
+        let hint = format!("use {least} to {most}");
+        return Err(Problem::new(file, value.referenced, message, hint));
+    }
+    Ok(value.value)
+}
+
+fn retry_budget(
+    file: &str,
+    value: &Spanned<RetryBudgetSettings>,
+) -> Result<RetryBudgetSettings, Problem> {
+    let budget = value.value;
+    let at = value.referenced;
+    not_negative(file, "retry_budget.ratio", at, budget.ratio)?;
+    not_negative(file, "retry_budget.fixed", at, budget.fixed)?;
+    if budget.window_ms == 0 {
+        return Err(Problem::new(file, at, "`retry_budget.window_ms` is 0", "use 1 or more"));
+    }
+    Ok(budget)
+}
+
+fn warmup(file: &str, value: &Spanned<WarmupSettings>) -> Result<WarmupSettings, Problem> {
+    let warmup = value.value;
+    not_negative(file, "warmup.factor", value.referenced, warmup.factor)?;
+    not_negative(file, "warmup.slack", value.referenced, warmup.slack)?;
+    Ok(warmup)
+}
+
+fn not_negative(file: &str, field: &str, at: Location, value: f64) -> Result<(), Problem> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(());
+    }
+    Err(Problem::new(file, at, format!("`{field}` is {value}"), "use 0 or more"))
+}
--- a/crates/sassafrasproxy-config/src/lib.rs
+++ b/crates/sassafrasproxy-config/src/lib.rs
@@ -1,6 +1,7 @@
 //! Service files, node settings, and the publishing of configurations.
 
 mod chunks;
+mod gateway;
 mod problem;
 mod publish;
 mod service_file;
@@ -9,6 +10,7 @@
 pub use self::chunks::{
     AssembleError, Chunk, HEAD_KEY, assemble, chunk_key, chunk_services, read_head,
 };
+pub use self::gateway::{GatewaySettings, RetryBudgetSettings, WarmupSettings};
 pub use self::problem::Problem;
 pub use self::publish::{
     Change, ConfigurationChange, Publish, PublishEnd, PublishEvent, PublishStep, changes_between,
--- a/crates/sassafrasproxy-config/src/settings.rs
+++ b/crates/sassafrasproxy-config/src/settings.rs
@@ -8,6 +8,7 @@
 use serde_saphyr::Spanned;
 
 use crate::Problem;
+use crate::gateway::{address, between, filled};
 use crate::problem::read_yaml;
 
 /// How long callers keep an address list when the settings do not say, in milliseconds.
@@ -77,15 +78,15 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, Problem> {
         let raw: SettingsFile = read_yaml(file, text, HINT)?;
         let seeds: Result<Vec<EcoString>, Problem> =
-            raw.seeds.iter().map(|seed| socket(file, "seeds", seed).map(to_text)).collect();
+            raw.seeds.iter().map(|seed| address(file, "seeds", seed).map(to_text)).collect();
         let optional = |field: &str, value: &Option<Spanned<EcoString>>| {
-            value.as_ref().map(|value| socket(file, field, value)).transpose()
+            value.as_ref().map(|value| address(file, field, value)).transpose()
         };
         Ok(Self {
             name: filled(file, "name", &raw.name)?,
             failure_domain: filled(file, "failure_domain", &raw.failure_domain)?,
-            listen: socket(file, "listen", &raw.listen)?,
-            peer_listen: socket(file, "peer_listen", &raw.peer_listen)?,
+            listen: address(file, "listen", &raw.listen)?,
+            peer_listen: address(file, "peer_listen", &raw.peer_listen)?,
             advertise: optional("advertise", &raw.advertise)?,
             peer_advertise: optional("peer_advertise", &raw.peer_advertise)?,
             platform: base_url(file, &raw.platform)?,
@@ -96,23 +97,6 @@
     }
 }
 
-/// A text that must not be empty.
-fn filled(file: &str, field: &str, value: &Spanned<EcoString>) -> Result<EcoString, Problem> {
-    if value.value.trim().is_empty() {
-        let message = format!("`{field}` is empty");
-        return Err(Problem::new(file, value.referenced, message, "give it a name"));
-    }
-    Ok(value.value.clone())
-}
-
-/// An address by IP number.
-fn socket(file: &str, field: &str, value: &Spanned<EcoString>) -> Result<SocketAddr, Problem> {
-    value.value.parse().map_err(|_| {
-        let message = format!("`{field}` is `{}`, which is no address", value.value);
-        Problem::new(file, value.referenced, message, "write IP number and port, as 127.0.0.1:7001")
-    })
-}
-
 fn to_text(address: SocketAddr) -> EcoString {
     ecow::eco_format!("{address}")
 }
@@ -130,10 +114,5 @@
 /// How long callers may keep an address list.
 fn keep(file: &str, value: Option<&Spanned<u64>>) -> Result<u64, Problem> {
     let Some(value) = value else { return Ok(DEFAULT_ADDRESS_KEEP_MS) };
-    if value.value == 0 || value.value > MAX_ADDRESS_KEEP_MS {
-        let message = format!("`address_keep_ms` is {}", value.value);
-        let hint = format!("use 1 to {MAX_ADDRESS_KEEP_MS}");
-        return Err(Problem::new(file, value.referenced, message, hint));
-    }
-    Ok(value.value)
+    between(file, "address_keep_ms", value, 1, MAX_ADDRESS_KEEP_MS)
 }
--- a/crates/sassafrasproxy-core/src/control/mod.rs
+++ b/crates/sassafrasproxy-core/src/control/mod.rs
@@ -15,11 +15,11 @@
     NodeHoldings, VmEntry, VmState,
 };
 
+pub(crate) use self::members::MemberChange;
 pub use self::members::{Member, MemberTable};
 pub use self::message::{ControlEffect, ControlEvent, ControlPolicy};
 
 use self::holdings::HoldingsTable;
-use self::members::MemberChange;
 use crate::{GroupTable, HomeTable, View};
 
 /// How many ticks pass between two probes of seeds that are no members.
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/discovery.rs
@@ -0,0 +1,417 @@
+//! What a node knows of configuration, replicas and fellow nodes, from the store or from peers.
+
+use std::sync::Arc;
+
+use ecow::EcoString;
+use indexmap::{IndexMap, IndexSet};
+use sassafrasproxy_wire::{
+    CallerLimits, MemberUpdate, ReplicaEntry, RouteConfiguration, RoutedService,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::RouteTable;
+
+/// How long after the store's return a replica whose entry lapsed may take to be back, in
+/// microseconds: the store's operators promise about two seconds.
+const REGISTER_AGAIN_US: u64 = 2_200_000;
+
+/// Something that stands in the store.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Fact {
+    /// The newest configuration.
+    Configuration(RouteConfiguration),
+    /// A failure domain is out.
+    DomainOut(EcoString),
+    /// A replica's entry.
+    Replica(ReplicaEntry),
+    /// A node's registration.
+    Node(NodeRegistration),
+}
+
+/// What a node registers, so that others find it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NodeRegistration {
+    /// The node as a member.
+    pub member: MemberUpdate,
+}
+
+/// What a fact is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// The configuration.
+    Configuration,
+    /// Whether a failure domain is out.
+    DomainOut(EcoString),
+    /// A replica, by id.
+    Replica(EcoString),
+    /// A node, by name.
+    Node(EcoString),
+}
+
+impl Fact {
+    /// What the fact is about.
+    pub fn subject(&self) -> Subject {
+        match self {
+            Self::Configuration(_) => Subject::Configuration,
+            Self::DomainOut(domain) => Subject::DomainOut(domain.clone()),
+            Self::Replica(entry) => Subject::Replica(entry.id.clone()),
+            Self::Node(node) => Subject::Node(node.member.node.clone()),
+        }
+    }
+}
+
+/// What discovery takes in.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DiscoveryEvent {
+    /// A list of everything begins.
+    ListStarted,
+    /// A fact was listed or written.
+    Seen {
+        /// The fact.
+        fact: Fact,
+        /// The store's revision of it.
+        revision: u64,
+    },
+    /// A subject has no readable fact any more.
+    Gone {
+        /// The subject.
+        subject: Subject,
+        /// The store's revision of its removal.
+        revision: u64,
+    },
+    /// The list ended: what it did not name is gone.
+    ListEnded,
+    /// The store stopped answering.
+    StoreLost,
+    /// The store answers again.
+    StoreBack,
+    /// Time has passed.
+    Tick,
+}
+
+/// What discovery did that is worth a log line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DiscoveryNote {
+    /// A configuration came into force.
+    InForce {
+        /// Its version.
+        version: u64,
+    },
+    /// An older configuration was left aside.
+    OlderIgnored {
+        /// Its version.
+        version: u64,
+        /// The version in force.
+        in_force: u64,
+    },
+    /// A replica came, or changed.
+    Replica {
+        /// Its id.
+        id: EcoString,
+        /// Whether it is about to leave.
+        is_draining: bool,
+    },
+    /// A replica's entry is gone.
+    ReplicaGone {
+        /// Its id.
+        id: EcoString,
+        /// Whether it is kept for a while because the store was away.
+        is_held: bool,
+    },
+    /// A failure domain was taken out or brought back.
+    Domain {
+        /// Its name.
+        domain: EcoString,
+        /// Whether it is out now.
+        is_out: bool,
+    },
+}
+
+/// Everything that traffic needs to know, replaced as a whole.
+#[derive(Debug, Clone, Default)]
+pub struct Catalogue {
+    /// The version of the configuration; 0 before the first.
+    pub version: u64,
+    /// The configuration's routes.
+    pub routes: Arc<RouteTable>,
+    /// The configuration's services.
+    pub services: Arc<IndexMap<EcoString, RoutedService>>,
+    /// What callers may send.
+    pub caller_limits: CallerLimits,
+    /// The replicas that may be used, by id.
+    pub replicas: IndexMap<EcoString, CatalogueReplica>,
+}
+
+/// One replica of the catalogue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CatalogueReplica {
+    /// Its entry.
+    pub entry: Arc<ReplicaEntry>,
+    /// When this node took the entry in, in microseconds of the node's clock.
+    pub seen_us: u64,
+    /// Whether it may get new work.
+    pub is_open: bool,
+}
+
+#[derive(Debug, Clone)]
+struct KnownReplica {
+    entry: Arc<ReplicaEntry>,
+    revision: u64,
+    seen_us: u64,
+    is_listed: bool,
+    /// Set while the entry is gone but its replica may still be alive.
+    held_until_us: Option<u64>,
+}
+
+/// The discovery reducer.
+#[derive(Debug, Default)]
+pub struct Discovery {
+    configuration: Arc<RouteConfiguration>,
+    routes: Arc<RouteTable>,
+    services: Arc<IndexMap<EcoString, RoutedService>>,
+    replicas: IndexMap<EcoString, KnownReplica>,
+    /// Failure domains that are out, with the revision and whether the last list named them.
+    domains_out: IndexMap<EcoString, (u64, bool)>,
+    nodes: IndexMap<EcoString, NodeRegistration>,
+    is_store_away: bool,
+    /// Until when entries that are gone may still come back.
+    hold_until_us: u64,
+    notes: Vec<DiscoveryNote>,
+    is_changed: bool,
+}
+
+impl Discovery {
+    /// Takes one event in.
+    pub fn step(&mut self, now_us: u64, event: DiscoveryEvent) {
+        match event {
+            DiscoveryEvent::ListStarted => self.start_list(),
+            DiscoveryEvent::Seen { fact, revision } => self.see(now_us, fact, revision),
+            DiscoveryEvent::Gone { subject, revision } => self.lose(now_us, &subject, revision),
+            DiscoveryEvent::ListEnded => self.end_list(now_us),
+            DiscoveryEvent::StoreLost => self.is_store_away = true,
+            DiscoveryEvent::StoreBack => self.come_back(now_us),
+            DiscoveryEvent::Tick => self.drop_held(now_us),
+        }
+    }
+
+    /// The notes since the last call.
+    pub fn take_notes(&mut self) -> Vec<DiscoveryNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// A new catalogue, if anything changed since the last.
+    pub fn take_catalogue(&mut self) -> Option<Catalogue> {
+        std::mem::take(&mut self.is_changed).then(|| self.catalogue())
+    }
+
+    /// The registered nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeRegistration> {
+        self.nodes.values()
+    }
+
+    /// Whether a node's registration stands in the store.
+    pub fn is_registered(&self, node: &str) -> bool {
+        self.nodes.contains_key(node)
+    }
+
+    /// When the next held replica is due, in microseconds.
+    pub fn next_due_us(&self) -> Option<u64> {
+        self.replicas.values().filter_map(|replica| replica.held_until_us).min()
+    }
+
+    /// The version of the configuration in force.
+    pub fn version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// Everything known, to tell a peer that cannot reach the store.
+    pub fn facts(&self) -> Vec<(Fact, u64)> {
+        let mut facts = Vec::new();
+        if self.configuration.version > 0 {
+            facts.push((Fact::Configuration((*self.configuration).clone()), 0));
+        }
+        let out = self.domains_out.iter();
+        facts.extend(
+            out.map(|(domain, (revision, _))| (Fact::DomainOut(domain.clone()), *revision)),
+        );
+        let present = self.replicas.values().filter(|replica| replica.held_until_us.is_none());
+        facts.extend(
+            present.map(|replica| (Fact::Replica((*replica.entry).clone()), replica.revision)),
+        );
+        facts
+    }
+
+    fn catalogue(&self) -> Catalogue {
+        let replicas = self.replicas.iter().map(|(id, known)| {
+            let is_out = self.domains_out.contains_key(&known.entry.failure_domain);
+            let replica = CatalogueReplica {
+                entry: known.entry.clone(),
+                seen_us: known.seen_us,
+                is_open: !is_out && !known.entry.is_draining,
+            };
+            (id.clone(), replica)
+        });
+        Catalogue {
+            version: self.configuration.version,
+            routes: self.routes.clone(),
+            services: self.services.clone(),
+            caller_limits: self.configuration.caller_limits,
+            replicas: replicas.collect(),
+        }
+    }
+
+    /// Gives replicas that are held the time to register again, from now.
+    fn come_back(&mut self, now_us: u64) {
+        if !std::mem::take(&mut self.is_store_away) {
+            return;
+        }
+        self.hold_until_us = now_us + REGISTER_AGAIN_US;
+        for replica in self.replicas.values_mut() {
+            replica.held_until_us = replica.held_until_us.map(|_| self.hold_until_us);
+        }
+    }
+
+    fn start_list(&mut self) {
+        self.replicas.values_mut().for_each(|replica| replica.is_listed = false);
+        self.domains_out.values_mut().for_each(|(_, is_listed)| *is_listed = false);
+        self.nodes.clear();
+    }
+
+    fn end_list(&mut self, now_us: u64) {
+        let domains = self.domains_out.iter().filter(|(_, (_, is_listed))| !is_listed);
+        let domains: Vec<EcoString> = domains.map(|(domain, _)| domain.clone()).collect();
+        for domain in domains {
+            self.bring_back(&domain);
+        }
+        let missing = self.replicas.iter().filter(|(_, replica)| !replica.is_listed);
+        let missing: Vec<EcoString> = missing.map(|(id, _)| id.clone()).collect();
+        for id in missing {
+            self.lose_replica(now_us, &id);
+        }
+    }
+
+    fn see(&mut self, now_us: u64, fact: Fact, revision: u64) {
+        match fact {
+            Fact::Configuration(configuration) => self.adopt(configuration),
+            Fact::DomainOut(domain) => self.take_out(domain, revision),
+            Fact::Replica(entry) => self.see_replica(now_us, entry, revision),
+            Fact::Node(node) => {
+                self.nodes.insert(node.member.node.clone(), node);
+            }
+        }
+    }
+
+    /// Takes a configuration that is newer than the one in force, and only such a one.
+    fn adopt(&mut self, configuration: RouteConfiguration) {
+        let (version, in_force) = (configuration.version, self.configuration.version);
+        if version <= in_force {
+            if version < in_force {
+                self.notes.push(DiscoveryNote::OlderIgnored { version, in_force });
+            }
+            return;
+        }
+        self.routes = Arc::new(RouteTable::new(configuration.routes.iter().cloned()));
+        self.services = Arc::new(configuration.services.clone());
+        self.configuration = Arc::new(configuration);
+        self.notes.push(DiscoveryNote::InForce { version });
+        self.is_changed = true;
+    }
+
+    fn take_out(&mut self, domain: EcoString, revision: u64) {
+        let is_new = self.domains_out.insert(domain.clone(), (revision, true)).is_none();
+        if is_new {
+            self.notes.push(DiscoveryNote::Domain { domain, is_out: true });
+            self.is_changed = true;
+        }
+    }
+
+    fn bring_back(&mut self, domain: &EcoString) {
+        if self.domains_out.shift_remove(domain).is_some() {
+            self.notes.push(DiscoveryNote::Domain { domain: domain.clone(), is_out: false });
+            self.is_changed = true;
+        }
+    }
+
+    fn see_replica(&mut self, now_us: u64, entry: ReplicaEntry, revision: u64) {
+        let id = entry.id.clone();
+        if let Some(known) = self.replicas.get_mut(&id) {
+            if revision < known.revision {
+                return;
+            }
+            let was_held = known.held_until_us.take().is_some();
+            known.is_listed = true;
+            known.revision = revision;
+            if *known.entry == entry && !was_held {
+                return;
+            }
+        }
+        self.notes.push(DiscoveryNote::Replica { id: id.clone(), is_draining: entry.is_draining });
+        let entry = Arc::new(entry);
+        let known =
+            KnownReplica { entry, revision, seen_us: now_us, is_listed: true, held_until_us: None };
+        self.replicas.insert(id, known);
+        self.is_changed = true;
+    }
+
+    fn lose(&mut self, now_us: u64, subject: &Subject, revision: u64) {
+        match subject {
+            // The configuration in force stays: it never goes back, not even to none.
+            Subject::Configuration => {}
+            Subject::DomainOut(domain) => {
+                if self.domains_out.get(domain).is_some_and(|(known, _)| revision >= *known) {
+                    self.bring_back(domain);
+                }
+            }
+            Subject::Replica(id) => {
+                if self.replicas.get(id).is_some_and(|known| revision >= known.revision) {
+                    self.lose_replica(now_us, id);
+                }
+            }
+            Subject::Node(node) => {
+                self.nodes.shift_remove(node);
+            }
+        }
+    }
+
+    /// Lets a replica go, or keeps it for a while if its entry may have lapsed with the store.
+    ///
+    /// Guards against an outage of the store in which live replicas could not renew their
+    /// entries: all entries are gone at once when it returns, and dropping their replicas would
+    /// refuse every request for the two seconds until they have registered again.
+    fn lose_replica(&mut self, now_us: u64, id: &EcoString) {
+        let Some(known) = self.replicas.get_mut(id) else { return };
+        let is_held =
+            (self.is_store_away || now_us < self.hold_until_us) && !known.entry.is_draining;
+        if known.held_until_us.is_some() {
+            return;
+        }
+        if is_held {
+            known.held_until_us = Some(self.hold_until_us.max(now_us));
+        } else {
+            self.replicas.shift_remove(id);
+            self.is_changed = true;
+        }
+        self.notes.push(DiscoveryNote::ReplicaGone { id: id.clone(), is_held });
+    }
+
+    /// Lets held replicas go that did not register again in time.
+    fn drop_held(&mut self, now_us: u64) {
+        if self.is_store_away {
+            return;
+        }
+        let due = |replica: &KnownReplica| replica.held_until_us.is_some_and(|at| at <= now_us);
+        let ids: IndexSet<EcoString> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| due(replica))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.replicas.shift_remove(&id);
+            self.notes.push(DiscoveryNote::ReplicaGone { id, is_held: false });
+            self.is_changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/gather.rs
@@ -0,0 +1,79 @@
+//! Answering from many shards: when to stop waiting, and how parts become one answer.
+
+/// The size of a record, in bytes.
+pub const RECORD_BYTES: usize = 16;
+
+/// What bounds one gathered answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatherPlan {
+    /// How many shards there are; at least 1.
+    pub shards: usize,
+    /// The least parts that make an answer; at least 1.
+    pub min_parts: usize,
+    /// Until when all parts are waited for, in microseconds.
+    ///
+    /// An answer is worth the square of its coverage while it is in time, and a tenth of that
+    /// when it is late: one shard of twenty is worth 10 %, being late costs 90 %.
+    pub stop_us: u64,
+    /// When the caller must have its final answer, in microseconds.
+    pub end_us: u64,
+}
+
+impl GatherPlan {
+    /// The least parts for a coverage in 0 to 1.
+    pub fn min_parts(shards: usize, min_coverage: f64) -> usize {
+        // A coverage such as 0.75 of 20 must not become 16 by a rounding error.
+        let least = (shards as f64 * min_coverage - 1e-9).ceil();
+        (least.max(1.0) as usize).min(shards)
+    }
+}
+
+/// What to do with the parts that are in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GatherStep {
+    /// Answer with them.
+    Answer,
+    /// Wait for more, until a time at most.
+    Wait {
+        /// The time.
+        until_us: u64,
+    },
+    /// Give up: too few are in, and too few can still come or the time is over.
+    GiveUp,
+}
+
+/// What to do with `parts` in and `pending` still under way.
+pub fn next_gather_step(
+    now_us: u64,
+    plan: &GatherPlan,
+    parts: usize,
+    pending: usize,
+) -> GatherStep {
+    if parts + pending < plan.min_parts {
+        return GatherStep::GiveUp;
+    }
+    let is_enough = parts >= plan.min_parts;
+    if pending == 0 || (is_enough && now_us >= plan.stop_us) {
+        return GatherStep::Answer;
+    }
+    if now_us >= plan.end_us {
+        return GatherStep::GiveUp;
+    }
+    let until_us = if is_enough { plan.stop_us.min(plan.end_us) } else { plan.end_us };
+    GatherStep::Wait { until_us }
+}
+
+/// The greatest records of all parts, greatest first; a part's remainder is no record.
+///
+/// Equal records all count. Selecting before sorting keeps the work near one pass over the
+/// parts, as an answer holds a few of many records.
+pub fn merge_records<'a>(parts: impl IntoIterator<Item = &'a [u8]>, top_k: usize) -> Vec<u8> {
+    let mut records: Vec<&[u8; RECORD_BYTES]> =
+        parts.into_iter().flat_map(|part| part.as_chunks::<RECORD_BYTES>().0).collect();
+    if top_k < records.len() {
+        records.select_nth_unstable_by(top_k, |a, b| b.cmp(a));
+        records.truncate(top_k);
+    }
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.into_iter().flatten().copied().collect()
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -0,0 +1,244 @@
+//! Who is there: heartbeats between nodes over datagrams, in the manner of SWIM.
+
+use ecow::EcoString;
+use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sassafrasproxy_wire::{Heartbeat, Hlc, MemberState, MemberUpdate};
+use serde::{Deserialize, Serialize};
+
+use crate::control::MemberChange;
+use crate::{DirectoryNode, Member, MemberTable};
+
+/// Times and counts of the heartbeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GossipPolicy {
+    /// The time between two ticks, in microseconds.
+    pub tick_us: u64,
+    /// How many members are probed at each tick.
+    ///
+    /// Two of eight at each half second: a member is probed by somebody every quarter of a
+    /// second, at the same cost for each node however many there are.
+    pub probes: usize,
+    /// How many probes of a member must fail in a row before it is suspected; datagrams get lost.
+    pub misses: u32,
+    /// How long a suspected member has to refute, in microseconds.
+    pub suspect_us: u64,
+    /// How long a dead member is remembered, in microseconds.
+    pub forget_us: u64,
+    /// How many news on members go with a heartbeat.
+    pub news: usize,
+}
+
+impl Default for GossipPolicy {
+    fn default() -> Self {
+        Self {
+            tick_us: 500_000,
+            probes: 2,
+            misses: 2,
+            suspect_us: 1_200_000,
+            forget_us: 30_000_000,
+            news: 6,
+        }
+    }
+}
+
+/// One datagram between nodes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PeerDatagram {
+    /// Whether it answers a probe.
+    pub is_reply: bool,
+    /// The sender and its news; `revision` is its configuration's version.
+    pub heartbeat: Heartbeat,
+    /// How far the sender follows the store, to tell who knows more.
+    pub store_revision: u64,
+}
+
+/// What gossip asks its shell to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerSend {
+    /// Where to.
+    pub peer_address: EcoString,
+    /// What.
+    pub datagram: PeerDatagram,
+}
+
+/// A change of a member's state, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberNote {
+    /// The member.
+    pub node: EcoString,
+    /// Its new state.
+    pub state: MemberState,
+}
+
+/// The membership of one node.
+#[derive(Debug)]
+pub struct Gossip {
+    policy: GossipPolicy,
+    rng: StdRng,
+    members: MemberTable,
+    /// Peer addresses to try that are no member's.
+    seeds: IndexSet<EcoString>,
+    /// Probes without an answer yet, by member: when the last was sent and how many failed.
+    probes: IndexMap<EcoString, Probe>,
+    /// What each member said last of how far it follows the store.
+    store_revisions: IndexMap<EcoString, u64>,
+    version: u64,
+    store_revision: u64,
+    notes: Vec<MemberNote>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Probe {
+    is_waiting: bool,
+    misses: u32,
+}
+
+impl Gossip {
+    /// A membership of this node only.
+    pub fn new(
+        me: &MemberUpdate,
+        seeds: impl IntoIterator<Item = EcoString>,
+        policy: GossipPolicy,
+        seed: u64,
+        now_us: u64,
+    ) -> Self {
+        let mut gossip = Self {
+            policy,
+            rng: StdRng::seed_from_u64(seed),
+            members: MemberTable::new(me, now_us),
+            seeds: seeds.into_iter().collect(),
+            probes: IndexMap::new(),
+            store_revisions: IndexMap::new(),
+            version: 0,
+            store_revision: 0,
+            notes: Vec::new(),
+        };
+        gossip.seeds.swap_remove(&me.peer_address);
+        gossip
+    }
+
+    /// Sets what this node says of its configuration and of how far it follows the store.
+    pub fn set_progress(&mut self, version: u64, store_revision: u64) {
+        self.version = version;
+        self.store_revision = self.store_revision.max(store_revision);
+    }
+
+    /// Adds a peer address to try.
+    pub fn add_seed(&mut self, peer_address: EcoString) {
+        if self.members.me().peer_address != peer_address {
+            self.seeds.insert(peer_address);
+        }
+    }
+
+    /// Takes the passing of a tick in, and returns what to send.
+    pub fn tick(&mut self, now_us: u64) -> Vec<PeerSend> {
+        self.count_misses(now_us);
+        let changes = self.members.expire(now_us, self.policy.suspect_us, self.policy.forget_us);
+        self.note(changes);
+        let mut targets: IndexSet<EcoString> = IndexSet::new();
+        for _ in 0..self.policy.probes {
+            let Some(member) = self.members.next_probe(&mut self.rng) else { break };
+            targets.insert(member.peer_address.clone());
+            let node = member.node.clone();
+            self.probes.entry(node).or_default().is_waiting = true;
+        }
+        let known: IndexSet<&EcoString> =
+            self.members.present().map(|member| &member.peer_address).collect();
+        let strangers = self.seeds.iter().filter(|seed| !known.contains(seed));
+        targets.extend(strangers.cloned());
+        targets.into_iter().map(|to| self.send(to, false)).collect()
+    }
+
+    /// Takes a datagram in, and returns the answer if it is owed one.
+    pub fn hear(&mut self, now_us: u64, datagram: &PeerDatagram) -> Option<PeerSend> {
+        let heartbeat = &datagram.heartbeat;
+        let from = &heartbeat.from;
+        let mut changes: Vec<_> = self.members.merge(now_us, from).into_iter().collect();
+        for update in &heartbeat.updates {
+            changes.extend(self.members.merge(now_us, update));
+        }
+        self.note(changes);
+        self.members.note_heard(now_us, heartbeat);
+        self.store_revisions.insert(from.node.clone(), datagram.store_revision);
+        self.probes.shift_remove(&from.node);
+        (!datagram.is_reply).then(|| self.send(from.peer_address.clone(), true))
+    }
+
+    /// Announces that this node is leaving, to all peers at once.
+    pub fn leave(&mut self, now_us: u64) -> Vec<PeerSend> {
+        self.members.leave(now_us);
+        let peers: Vec<EcoString> =
+            self.members.peers().map(|peer| peer.peer_address.clone()).collect();
+        peers.into_iter().map(|to| self.send(to, false)).collect()
+    }
+
+    /// The changes of members since the last call.
+    pub fn take_notes(&mut self) -> Vec<MemberNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// All members that are not dead, this node included, as the directory needs them.
+    pub fn directory_nodes(&self) -> Vec<DirectoryNode> {
+        let node = |member: &Member| DirectoryNode {
+            address: member.address.clone(),
+            failure_domain: member.failure_domain.clone(),
+            state: member.state,
+        };
+        self.members.present().map(node).collect()
+    }
+
+    /// How many nodes may be sending to upstreams.
+    pub fn node_count(&self) -> usize {
+        self.members.present().count()
+    }
+
+    /// The peer that knows most of the store, if any knows more than this node.
+    pub fn best_informed(&self) -> Option<EcoString> {
+        let alive = self.members.peers().filter(|peer| peer.state == MemberState::Alive);
+        let revisions = &self.store_revisions;
+        let known = alive.filter_map(|peer| Some((*revisions.get(&peer.node)?, peer)));
+        let best = known.max_by_key(|(revision, _)| *revision)?;
+        (best.0 > self.store_revision).then(|| best.1.peer_address.clone())
+    }
+
+    /// Suspects members that did not answer some probes in a row.
+    fn count_misses(&mut self, now_us: u64) {
+        let mut silent = Vec::new();
+        for (node, probe) in &mut self.probes {
+            if std::mem::take(&mut probe.is_waiting) {
+                probe.misses += 1;
+            }
+            if probe.misses >= self.policy.misses {
+                silent.push(node.clone());
+            }
+        }
+        for node in silent {
+            self.probes.shift_remove(&node);
+            let change = self.members.suspect(now_us, &node);
+            self.note(change);
+        }
+    }
+
+    fn note(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
+        let notes = changes.into_iter();
+        self.notes
+            .extend(notes.map(|change| MemberNote { node: change.node, state: change.state }));
+    }
+
+    fn send(&mut self, peer_address: EcoString, is_reply: bool) -> PeerSend {
+        let heartbeat = Heartbeat {
+            from: self.members.me().as_update(),
+            revision: self.version,
+            holdings_version: 0,
+            members_hash: self.members.hash(),
+            wants_news: false,
+            updates: self.members.take_news(self.policy.news, 1),
+            hlc: Hlc::default(),
+        };
+        let store_revision = self.store_revision;
+        PeerSend { peer_address, datagram: PeerDatagram { is_reply, heartbeat, store_revision } }
+    }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -0,0 +1,29 @@
+//! Decisions about opaque HTTP requests that routes send to services, without homes.
+//!
+//! With few nodes, every node sends to every replica itself; what all nodes must keep together
+//! (connections, extra sends) is split by their number.
+
+mod directory;
+mod discovery;
+mod fetch;
+mod gather;
+mod gossip;
+mod pool;
+mod retry_budget;
+mod routes;
+mod split;
+mod store_sync;
+
+pub use self::directory::{DirectoryNode, directory_addresses};
+pub use self::discovery::{
+    Catalogue, CatalogueReplica, Discovery, DiscoveryEvent, DiscoveryNote, Fact, NodeRegistration,
+    Subject,
+};
+pub use self::fetch::{Fetch, FetchEnd, FetchFailure, FetchPlan, FetchStep, SendCause, TryResult};
+pub use self::gather::{GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step};
+pub use self::gossip::{Gossip, GossipPolicy, MemberNote, PeerDatagram, PeerSend};
+pub use self::pool::{PoolSettings, SendId, SendOutcome, UpstreamPool};
+pub use self::retry_budget::{RetryBudget, RetryBudgetPolicy};
+pub use self::routes::RouteTable;
+pub use self::split::SplitChooser;
+pub use self::store_sync::{StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -0,0 +1,385 @@
+//! Choosing among the replicas of a service by what this node has seen of each.
+
+use std::sync::Arc;
+
+use ecow::EcoString;
+use indexmap::IndexMap;
+use sassafrasproxy_wire::{ReplicaEntry, RoutedService};
+
+use crate::Catalogue;
+
+/// What a send to another failure domain costs beside its time, in microseconds.
+///
+/// About two one-way delays between failure domains (2.8 ms) and as much again for the bytes:
+/// a replica nearby is left only for one that is clearly quicker.
+const FAR_PENALTY_US: f64 = 6_000.0;
+
+/// What a replica with a send beyond its usual time costs, in microseconds.
+///
+/// Replicas stand still for about 100 ms now and then; on average half of that is left.
+const STALL_PENALTY_US: f64 = 50_000.0;
+
+/// What a replica costs that failed all its last requests, in microseconds.
+const ERROR_PENALTY_US: f64 = 60_000.0;
+
+/// How much one answer counts in a replica's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+
+/// The most that one answer counts as slower than expected, so that one straggler, which every
+/// replica has now and then, does not send all work to the sibling.
+const MAX_SLOWNESS: f64 = 8.0;
+
+/// How much one answer counts in a replica's rate of errors.
+const ERROR_WEIGHT: f64 = 0.3;
+
+/// The time after which half of what is known of a replica is forgotten, in microseconds.
+///
+/// A replica that was eight times slower is tried again after two to three seconds.
+const HALF_LIFE_US: f64 = 1_000_000.0;
+
+/// How long a replica's word on its load counts, in microseconds: some ten sends of a busy node.
+const LOAD_FRESH_US: u64 = 60_000;
+
+/// The pause after a replica could not be reached or did not answer, in microseconds; doubles
+/// with each failure in a row.
+const MIN_AVOID_US: u64 = 100_000;
+
+/// The longest such pause, in microseconds: a replica that is back gets work within this time.
+const MAX_AVOID_US: u64 = 1_600_000;
+
+/// How many nodes are counted on before any is known, for each node's share of the connections.
+const MIN_NODES: usize = 8;
+
+/// Which send: grows with each, never used again.
+pub type SendId = u64;
+
+/// What the pool knows from the node's settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolSettings {
+    /// Where this node is.
+    pub failure_domain: EcoString,
+    /// A cold replica's declared rate is exceeded by this factor at most, over all nodes.
+    pub warmup_factor: f64,
+    /// And by this many requests a second besides.
+    pub warmup_slack: f64,
+}
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// The replica answered for itself.
+    Answered,
+    /// The replica answered with a failure.
+    Faulty,
+    /// The replica says that it did not run the request.
+    Refused,
+    /// Nothing usable came: reset, garbled, or silent.
+    Lost,
+    /// No connection could be made.
+    Unreachable,
+    /// Another replica has the address.
+    Misdirected,
+    /// This node gave up; says nothing of the replica.
+    Cancelled,
+}
+
+/// All replicas that this node may send to.
+#[derive(Debug)]
+pub struct UpstreamPool {
+    settings: PoolSettings,
+    services: IndexMap<EcoString, Vec<EcoString>>,
+    replicas: IndexMap<EcoString, ReplicaState>,
+    next_send: SendId,
+    nodes: usize,
+}
+
+#[derive(Debug)]
+struct ReplicaState {
+    entry: Arc<ReplicaEntry>,
+    is_open: bool,
+    is_near: bool,
+    /// How many sends of this node may be under way; at least 1.
+    max_in_flight: usize,
+    outstanding: Vec<Outstanding>,
+    slowness: Fading,
+    errors: Fading,
+    /// Failures in a row.
+    failures: u32,
+    avoid_until_us: u64,
+    /// Requests that the replica ran or queued by its own word.
+    reported: u32,
+    reported_us: u64,
+    cold_until_us: u64,
+    /// The requests a second that this node may send while the replica is cold.
+    cold_rate: Option<f64>,
+    cold_tokens: f64,
+    cold_tokens_us: u64,
+}
+
+#[derive(Debug)]
+struct Outstanding {
+    id: SendId,
+    sent_us: u64,
+    expected_us: u64,
+    /// When the send is beyond its usual time.
+    due_us: u64,
+}
+
+/// A running mean that returns to its base as time passes.
+#[derive(Debug, Clone, Copy)]
+struct Fading {
+    base: f64,
+    above: f64,
+    at_us: u64,
+}
+
+impl Fading {
+    fn new(base: f64) -> Self {
+        Self { base, above: 0.0, at_us: 0 }
+    }
+
+    fn value(&self, now_us: u64) -> f64 {
+        let age = now_us.saturating_sub(self.at_us) as f64 / HALF_LIFE_US;
+        self.base + self.above * (-age).exp2()
+    }
+
+    fn add(&mut self, now_us: u64, sample: f64, weight: f64) {
+        let value = self.value(now_us) * (1.0 - weight) + sample * weight;
+        *self = Self { base: self.base, above: value - self.base, at_us: now_us };
+    }
+}
+
+impl UpstreamPool {
+    /// A pool without replicas.
+    pub fn new(settings: PoolSettings) -> Self {
+        Self {
+            settings,
+            services: IndexMap::new(),
+            replicas: IndexMap::new(),
+            next_send: 1,
+            nodes: MIN_NODES,
+        }
+    }
+
+    /// Takes a new catalogue in, and how many nodes share the replicas.
+    pub fn update(&mut self, now_us: u64, catalogue: &Catalogue, nodes: usize) {
+        self.nodes = nodes.max(MIN_NODES);
+        self.replicas.retain(|id, _| catalogue.replicas.contains_key(id));
+        for (id, listed) in &catalogue.replicas {
+            let service = catalogue.services.get(&listed.entry.service);
+            let known = self.replicas.get(id);
+            let is_same_life = known.is_some_and(|known| {
+                known.entry.born_ms == listed.entry.born_ms
+                    && known.entry.address == listed.entry.address
+            });
+            if !is_same_life {
+                let state = ReplicaState::new(listed.entry.clone(), &self.settings);
+                self.replicas.insert(id.clone(), state);
+            }
+            let state = &mut self.replicas[id];
+            state.entry = listed.entry.clone();
+            state.is_open = listed.is_open;
+            state.limit(service, self.nodes, &self.settings);
+            let cold_us = listed.entry.warmup_left_ms * crate::US_PER_MS;
+            state.cold_until_us = (listed.seen_us + cold_us).max(now_us.min(state.cold_until_us));
+        }
+        self.services.clear();
+        for (id, state) in &self.replicas {
+            self.services.entry(state.entry.service.clone()).or_default().push(id.clone());
+        }
+    }
+
+    /// The entry of a replica.
+    pub fn entry(&self, id: &str) -> Option<&Arc<ReplicaEntry>> {
+        self.replicas.get(id).map(|state| &state.entry)
+    }
+
+    /// Whether any replica of a service may get work at this moment.
+    pub fn has_usable(&self, service: &str, now_us: u64) -> bool {
+        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter().any(|id| self.replicas[id].is_usable(now_us))
+    }
+
+    /// How many replicas of the services each failure domain holds.
+    pub fn domain_counts<'a>(
+        &self,
+        services: impl IntoIterator<Item = &'a EcoString>,
+    ) -> IndexMap<EcoString, usize> {
+        let mut counts = IndexMap::new();
+        let ids = services.into_iter().filter_map(|service| self.services.get(service)).flatten();
+        for id in ids {
+            let state = &self.replicas[id];
+            if state.is_open {
+                *counts.entry(state.entry.failure_domain.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// The replica of a service that will probably answer first, all costs counted.
+    ///
+    /// `expected_us` is the usual time of such a request. Replicas in `tried` are left out, and
+    /// so are those that are known to fail at this moment.
+    pub fn pick(
+        &mut self,
+        service: &str,
+        now_us: u64,
+        expected_us: u64,
+        tried: &[EcoString],
+    ) -> Option<EcoString> {
+        let ids = self.services.get(service)?;
+        let mut best: Option<(f64, &EcoString)> = None;
+        for id in ids {
+            let state = &self.replicas[id];
+            if tried.contains(id) || !state.is_usable(now_us) || !state.bears_one(now_us) {
+                continue;
+            }
+            let cost = state.cost_us(now_us, expected_us);
+            // Equal replicas take turns, as nodes far from all of them must not all pick one.
+            let is_better = best.is_none_or(|(least, _)| {
+                cost < least || (cost == least && self.next_send.is_multiple_of(2))
+            });
+            if is_better {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Notes a send to a replica, which is beyond its usual time `patience_us` from now.
+    pub fn start(
+        &mut self,
+        id: &str,
+        now_us: u64,
+        expected_us: u64,
+        patience_us: u64,
+    ) -> Option<SendId> {
+        let state = self.replicas.get_mut(id)?;
+        let send = self.next_send;
+        self.next_send += 1;
+        state.spend_cold(now_us);
+        let due_us = now_us + patience_us;
+        state.outstanding.push(Outstanding { id: send, sent_us: now_us, expected_us, due_us });
+        Some(send)
+    }
+
+    /// Notes the end of a send; `reported` is the replica's own word on its load.
+    pub fn finish(
+        &mut self,
+        id: &str,
+        send: SendId,
+        now_us: u64,
+        outcome: SendOutcome,
+        reported: Option<u32>,
+    ) {
+        let Some(state) = self.replicas.get_mut(id) else { return };
+        let Some(at) = state.outstanding.iter().position(|one| one.id == send) else { return };
+        let sent = state.outstanding.swap_remove(at);
+        if let Some(reported) = reported {
+            state.reported = reported;
+            state.reported_us = now_us;
+        }
+        state.learn(now_us, &sent, outcome);
+    }
+}
+
+impl ReplicaState {
+    fn new(entry: Arc<ReplicaEntry>, settings: &PoolSettings) -> Self {
+        Self {
+            is_near: entry.failure_domain == settings.failure_domain,
+            entry,
+            is_open: true,
+            max_in_flight: 1,
+            outstanding: Vec::new(),
+            slowness: Fading::new(1.0),
+            errors: Fading::new(0.0),
+            failures: 0,
+            avoid_until_us: 0,
+            reported: 0,
+            reported_us: 0,
+            cold_until_us: 0,
+            cold_rate: None,
+            cold_tokens: 0.0,
+            cold_tokens_us: 0,
+        }
+    }
+
+    /// Divides what all nodes together may use of the replica.
+    fn limit(&mut self, service: Option<&RoutedService>, nodes: usize, settings: &PoolSettings) {
+        let connections = service.map_or(1, |service| service.max_connections as usize);
+        self.max_in_flight = (connections / nodes).max(1);
+        let rate = service.and_then(|service| service.warmup_per_s);
+        self.cold_rate =
+            rate.map(|rate| (rate * settings.warmup_factor + settings.warmup_slack) / nodes as f64);
+    }
+
+    fn is_usable(&self, now_us: u64) -> bool {
+        self.is_open && self.avoid_until_us <= now_us && self.outstanding.len() < self.max_in_flight
+    }
+
+    /// Whether the replica, if it is cold, bears one more request from this node now.
+    fn bears_one(&self, now_us: u64) -> bool {
+        self.cold_until_us <= now_us || self.cold_rate.is_none() || self.cold_left(now_us) >= 1.0
+    }
+
+    fn cold_left(&self, now_us: u64) -> f64 {
+        let rate = self.cold_rate.unwrap_or(0.0);
+        let earned = now_us.saturating_sub(self.cold_tokens_us) as f64 / 1e6 * rate;
+        (self.cold_tokens + earned).min(rate.max(1.0))
+    }
+
+    fn spend_cold(&mut self, now_us: u64) {
+        if self.cold_until_us > now_us && self.cold_rate.is_some() {
+            self.cold_tokens = self.cold_left(now_us) - 1.0;
+            self.cold_tokens_us = now_us;
+        }
+    }
+
+    /// The time until an answer that is to be expected, and all else that a send here costs.
+    fn cost_us(&self, now_us: u64, expected_us: u64) -> f64 {
+        let expected = expected_us as f64;
+        let is_fresh = now_us < self.reported_us + LOAD_FRESH_US;
+        let reported = if is_fresh { self.reported as usize } else { 0 };
+        let ahead = self.outstanding.len().max(reported);
+        let slots = self.entry.slots as usize;
+        let queue = (ahead + 1).saturating_sub(slots) as f64 * expected / slots as f64;
+        let far = if self.is_near { 0.0 } else { FAR_PENALTY_US };
+        let is_stalled = self.outstanding.iter().any(|one| one.due_us <= now_us);
+        let stall = if is_stalled { STALL_PENALTY_US } else { 0.0 };
+        let errors = self.errors.value(now_us) * ERROR_PENALTY_US;
+        expected * self.slowness.value(now_us) + queue + far + stall + errors
+    }
+
+    fn learn(&mut self, now_us: u64, sent: &Outstanding, outcome: SendOutcome) {
+        match outcome {
+            SendOutcome::Answered => {
+                let took = now_us.saturating_sub(sent.sent_us) as f64;
+                let ratio = took / sent.expected_us.max(1) as f64;
+                self.slowness.add(now_us, ratio.min(MAX_SLOWNESS), SLOWNESS_WEIGHT);
+                self.errors.add(now_us, 0.0, ERROR_WEIGHT);
+                self.failures = 0;
+            }
+            SendOutcome::Faulty | SendOutcome::Refused => {
+                self.errors.add(now_us, 1.0, ERROR_WEIGHT);
+            }
+            SendOutcome::Lost => {
+                self.errors.add(now_us, 1.0, ERROR_WEIGHT);
+                self.failures += 1;
+                // One loss may be the connection's; two in a row are the replica's.
+                if self.failures > 1 {
+                    self.avoid(now_us);
+                }
+            }
+            SendOutcome::Unreachable | SendOutcome::Misdirected => {
+                self.failures += 1;
+                self.avoid(now_us);
+            }
+            SendOutcome::Cancelled => {}
+        }
+    }
+
+    fn avoid(&mut self, now_us: u64) {
+        let doubled = MIN_AVOID_US << self.failures.saturating_sub(1).min(8);
+        self.avoid_until_us = now_us + doubled.min(MAX_AVOID_US);
+    }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/retry_budget.rs
@@ -0,0 +1,82 @@
+//! The budget for sends beyond the first, shared by all nodes without messages.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use ecow::EcoString;
+
+/// In how many steps the window slides.
+const SLOTS_PER_WINDOW: u64 = 10;
+
+/// What all nodes together may send beyond the first send of each request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBudgetPolicy {
+    /// Extra sends as a fraction of the requests in a window.
+    pub ratio: f64,
+    /// Extra sends a window besides, for all nodes together.
+    pub fixed: f64,
+    /// The window, in microseconds.
+    pub window_us: u64,
+}
+
+/// This node's part of the budget, by service.
+///
+/// The ratio applies to the requests that this node received itself, so the sum over all nodes
+/// keeps it without messages. The fixed part is divided by the number of nodes. A process that
+/// has just started earns its fixed part over one window: the life before it may have spent one.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    policy: RetryBudgetPolicy,
+    started_us: u64,
+    services: IndexMap<EcoString, Usage>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Usage {
+    /// Requests and extra sends of the slots in the window, oldest first, by slot number.
+    slots: VecDeque<(u64, u32, u32)>,
+}
+
+impl RetryBudget {
+    /// A budget that nothing was spent of.
+    pub fn new(policy: RetryBudgetPolicy, now_us: u64) -> Self {
+        Self { policy, started_us: now_us, services: IndexMap::new() }
+    }
+
+    /// Counts a request for a service.
+    pub fn note_request(&mut self, service: &EcoString, now_us: u64) {
+        self.slot(service, now_us).1 += 1;
+    }
+
+    /// Takes one extra send to a service, if the budget allows; `nodes` share the fixed part.
+    pub fn spend(&mut self, service: &EcoString, now_us: u64, nodes: usize) -> bool {
+        let policy = self.policy;
+        let age = now_us.saturating_sub(self.started_us) as f64 / policy.window_us as f64;
+        let fixed = policy.fixed / nodes.max(1) as f64 * age.min(1.0);
+        let slot = self.slot(service, now_us).0;
+        let usage = &mut self.services[service];
+        let requests: u32 = usage.slots.iter().map(|slot| slot.1).sum();
+        let extra: u32 = usage.slots.iter().map(|slot| slot.2).sum();
+        if f64::from(extra + 1) > policy.ratio * f64::from(requests) + fixed {
+            return false;
+        }
+        if let Some(last) = usage.slots.back_mut().filter(|last| last.0 == slot) {
+            last.2 += 1;
+        }
+        true
+    }
+
+    /// The current slot of a service's window, with what has left the window forgotten.
+    fn slot(&mut self, service: &EcoString, now_us: u64) -> &mut (u64, u32, u32) {
+        let number = now_us * SLOTS_PER_WINDOW / self.policy.window_us;
+        let usage = self.services.entry(service.clone()).or_default();
+        while usage.slots.front().is_some_and(|slot| slot.0 + SLOTS_PER_WINDOW < number) {
+            usage.slots.pop_front();
+        }
+        if usage.slots.back().is_none_or(|last| last.0 < number) {
+            usage.slots.push_back((number, 0, 0));
+        }
+        usage.slots.back_mut().expect("a slot was pushed if there was none")
+    }
+}
--- a/crates/sassafrasproxy-core/src/lib.rs
+++ b/crates/sassafrasproxy-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod claims;
 mod control;
+mod forward;
 mod homes;
 mod lane;
 mod query;
@@ -15,6 +16,14 @@
     ClaimBucket, ClaimEffect, ClaimEvent, ClaimPolicy, StoreCall, StoreResult, Ticket, bucket_of,
 };
 pub use self::control::{Control, ControlEffect, ControlEvent, ControlPolicy, Member, MemberTable};
+pub use self::forward::{
+    Catalogue, CatalogueReplica, DirectoryNode, Discovery, DiscoveryEvent, DiscoveryNote, Fact,
+    Fetch, FetchEnd, FetchFailure, FetchPlan, FetchStep, GatherPlan, GatherStep, Gossip,
+    GossipPolicy, MemberNote, NodeRegistration, PeerDatagram, PeerSend, PoolSettings, RECORD_BYTES,
+    RetryBudget, RetryBudgetPolicy, RouteTable, SendCause, SendId, SendOutcome, SplitChooser,
+    StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy, Subject, TryResult, UpstreamPool,
+    directory_addresses, merge_records, next_gather_step,
+};
 pub use self::homes::{GroupTable, HomeTable, ReplicaGroup, hash_name};
 pub use self::lane::{
     AttemptId, AttemptReport, AttemptResult, ExtraBudget, Lane, LaneConfiguration, LaneEffect,
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/connections.rs
@@ -0,0 +1,98 @@
+//! Kept connections to upstream replicas.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ecow::EcoString;
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use sassafrasproxy_core::US_PER_MS;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// How long before an idle connection's announced end it is not used any more, in milliseconds.
+///
+/// A request that crosses the replica's close may have run for all this node knows; a quarter of
+/// a second is far beyond the delay between the two.
+const KEEP_ALIVE_MARGIN_MS: u64 = 250;
+
+/// A connection that can carry one request at a time.
+pub type UpstreamSender = SendRequest<Full<Bytes>>;
+
+/// An idle connection.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: UpstreamSender,
+    /// Until when it may be used, in microseconds.
+    until_us: u64,
+}
+
+/// The idle connections to all replicas, by replica id.
+#[derive(Debug, Default)]
+pub struct Connections {
+    idle: IndexMap<EcoString, Vec<IdleConnection>>,
+}
+
+impl Connections {
+    /// Takes the idle connection to a replica that was used last.
+    pub fn take(&mut self, replica: &str, now_us: u64) -> Option<UpstreamSender> {
+        let idle = self.idle.get_mut(replica)?;
+        while let Some(connection) = idle.pop() {
+            if connection.until_us > now_us && !connection.sender.is_closed() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer is complete.
+    pub fn put(
+        &mut self,
+        replica: &EcoString,
+        sender: UpstreamSender,
+        now_us: u64,
+        keep_alive_ms: Option<u64>,
+    ) {
+        let usable_ms = keep_alive_ms.map(|ms| ms.saturating_sub(KEEP_ALIVE_MARGIN_MS));
+        let until_us = usable_ms.map_or(u64::MAX, |ms| now_us + ms * US_PER_MS);
+        let idle = self.idle.entry(replica.clone()).or_default();
+        idle.push(IdleConnection { sender, until_us });
+    }
+
+    /// Drops the idle connections to a replica.
+    ///
+    /// Guards against connections that went silent together: after one has shown it, the others
+    /// would each cost a request to find out.
+    pub fn drop_idle(&mut self, replica: &str) {
+        if let Some(idle) = self.idle.get_mut(replica) {
+            idle.clear();
+        }
+    }
+
+    /// Drops the connections to replicas that are no more.
+    pub fn retain(&mut self, mut is_known: impl FnMut(&EcoString) -> bool) {
+        self.idle.retain(|replica, _| is_known(replica));
+    }
+
+    /// Whether an idle connection to a replica is there.
+    pub fn has_idle(&self, replica: &str) -> bool {
+        self.idle.get(replica).is_some_and(|idle| !idle.is_empty())
+    }
+}
+
+/// Makes a connection.
+pub async fn connect(address: SocketAddr, limit: Duration) -> eyre::Result<UpstreamSender> {
+    let stream = timeout(limit, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/directory.rs
@@ -0,0 +1,48 @@
+//! Telling callers where to connect, and the platform whether this node is ready.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ecow::EcoString;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use indexmap::IndexSet;
+use sassafrasproxy_core::directory_addresses;
+use sassafrasproxy_platform::{directory_answer, directory_question};
+
+use crate::answer::Answer;
+use crate::traffic::Traffic;
+
+/// Answers a caller that asks which addresses to use.
+pub async fn serve_directory(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let caller_domain = directory_question(request.uri().query());
+    let view = traffic.view.borrow().clone();
+    // Shards set the load: a merged query is one request to each of them.
+    let routes = view.catalogue.routes.routes();
+    let services: IndexSet<&EcoString> = routes.flat_map(|route| route.target.services()).collect();
+    let counts = traffic.pool.borrow().domain_counts(services);
+    let addresses = directory_addresses(&view.nodes, &counts, caller_domain.as_deref());
+    let body = directory_answer(&addresses, traffic.settings.address_keep_ms);
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(answer)
+}
+
+/// Tells whether callers should be sent here.
+pub async fn serve_ready(
+    traffic: Rc<Traffic>,
+    _request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let is_ready = !traffic.is_leaving.get() && traffic.catalogue().version > 0;
+    let mut answer = Response::new(Full::default());
+    if !is_ready {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -0,0 +1,98 @@
+//! Serving callers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use http::header::CONNECTION;
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use sassafrasproxy_core::Catalogue;
+use sassafrasproxy_platform::caller_head;
+use sassafrasproxy_wire::RouteTarget;
+
+use crate::answer::{Answer, Refusal, refuse};
+use crate::request::CallerRequest;
+use crate::traffic::Traffic;
+use crate::{gather, single};
+
+/// When a caller may come back to a node that knows no configuration yet, in milliseconds.
+///
+/// A node that starts has read the store after about 100 ms.
+const NO_CONFIGURATION_RETRY_MS: u64 = 200;
+
+/// Serves one request.
+pub async fn serve(traffic: Rc<Traffic>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    traffic.active.set(traffic.active.get() + 1);
+    let _active = ActiveRequest { traffic: traffic.clone() };
+    let mut answer = match answer(&traffic, request).await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            let retry_after_ms =
+                (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
+            refuse(refusal, retry_after_ms)
+        }
+    };
+    if traffic.is_leaving.get() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// Counts a request for as long as it is served, also when its caller leaves.
+struct ActiveRequest {
+    traffic: Rc<Traffic>,
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.traffic.active.set(self.traffic.active.get() - 1);
+    }
+}
+
+async fn answer(traffic: &Rc<Traffic>, request: Request<Incoming>) -> Result<Answer, Refusal> {
+    let arrived_us = traffic.clock.now_us();
+    let catalogue = traffic.catalogue();
+    if catalogue.version == 0 {
+        return Err(Refusal::NoConfiguration);
+    }
+    let (parts, body) = request.into_parts();
+    let head = caller_head(&parts.headers).map_err(|error| {
+        log::info!("request refused: {error}");
+        Refusal::BadRequest
+    })?;
+    let body = read_body(&catalogue, body).await?;
+    // The configuration may have changed while the body came.
+    let catalogue = traffic.catalogue();
+    let route = catalogue.routes.pick(&head.host, parts.uri.path());
+    let Some(route) = route.cloned() else {
+        log::info!("{} no route for {} {}", head.attempt_id, head.host, parts.uri.path());
+        return Err(Refusal::NoRoute);
+    };
+    let attempt_id = head.attempt_id.clone();
+    let request = Rc::new(CallerRequest::new(head, parts, body, arrived_us));
+    let answer = match &route.target {
+        RouteTarget::Service(service) => {
+            single::serve(traffic, request, &route, service.clone()).await
+        }
+        RouteTarget::Split(parts) => {
+            let service = traffic.choose_split(&route.name, parts);
+            let service = service.ok_or(Refusal::NotRun)?;
+            single::serve(traffic, request, &route, service).await
+        }
+        RouteTarget::Gather(target) => gather::serve(traffic, request, &route, target).await,
+    };
+    let took_ms = (traffic.clock.now_us() - arrived_us) / 1_000;
+    let (route, status) = (&route.name, answer.status().as_u16());
+    log::info!("{attempt_id} {route} v{}: {status} after {took_ms} ms", catalogue.version);
+    Ok(answer)
+}
+
+async fn read_body(catalogue: &Catalogue, body: Incoming) -> Result<bytes::Bytes, Refusal> {
+    let limited = Limited::new(body, catalogue.caller_limits.body_bytes);
+    let collected = limited.collect().await.map_err(|error| {
+        let is_large = error.downcast_ref::<LengthLimitError>().is_some();
+        if is_large { Refusal::TooLarge } else { Refusal::BadRequest }
+    })?;
+    Ok(collected.to_bytes())
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! The I/O of a gateway: a node that forwards opaque requests over routes.
+//!
+//! One thread follows the store and the peers, and publishes what traffic needs to know; the
+//! other serves callers. Decisions stand in `sassafrasproxy-core`.
+
+mod answer;
+mod connections;
+mod control;
+mod directory;
+mod facts;
+mod front;
+mod gateway;
+mod gather;
+mod listener;
+mod peers;
+mod request;
+mod single;
+mod store;
+mod traffic;
+mod upstream;
+mod view;
+
+pub use self::gateway::{Gateway, GatewayError};
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/listener.rs
@@ -0,0 +1,95 @@
+//! Accepting connections and serving HTTP on them.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::answer::Answer;
+use crate::traffic::Traffic;
+
+/// The pause after a connection could not be accepted, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the connections of a listener are served with.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimits {
+    /// The largest request head, in bytes.
+    pub header_bytes: usize,
+    /// How long a connection may be idle or take for a request head.
+    pub idle: Duration,
+}
+
+/// Accepts connections until told to stop, and lets each end with the request it carries.
+pub async fn run<F, S>(
+    listener: TcpListener,
+    traffic: Rc<Traffic>,
+    limits: impl Fn(&Traffic) -> ConnectionLimits,
+    serve: S,
+    mut stopping: watch::Receiver<bool>,
+) where
+    S: Fn(Rc<Traffic>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Result<Answer, Infallible>> + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|is_stopping| *is_stopping) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let limits = limits(&traffic);
+                let stopping = stopping.clone();
+                spawn_local(serve_connection(stream, traffic.clone(), limits, serve, stopping));
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<F, S>(
+    stream: TcpStream,
+    traffic: Rc<Traffic>,
+    limits: ConnectionLimits,
+    serve: S,
+    mut stopping: watch::Receiver<bool>,
+) where
+    S: Fn(Rc<Traffic>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Result<Answer, Infallible>> + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a connection goes without nodelay: {error}");
+    }
+    let service = service_fn(move |request| serve(traffic.clone(), request));
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = stopping.wait_for(|is_stopping| *is_stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("a connection ended: {error}");
+    }
+}
+
+/// The least read buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/peers.rs
@@ -0,0 +1,73 @@
+//! Heartbeats between nodes, as datagrams.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sassafrasproxy_core::{GossipPolicy, PeerDatagram, PeerSend};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::control::ControlState;
+
+/// The largest datagram that is read, in bytes; news are few and short.
+const MAX_DATAGRAM_BYTES: usize = 8_192;
+
+/// Sends and hears heartbeats until the process ends.
+pub async fn run(
+    state: Rc<ControlState>,
+    mut leaving: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let socket = UdpSocket::bind(state.settings.peer_listen).await?;
+    let mut ticks = interval(Duration::from_micros(GossipPolicy::default().tick_us));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let now_us = state.clock.now_us();
+        let sends = tokio::select! {
+            _ = ticks.tick() => state.gossip.borrow_mut().tick(now_us),
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => hear(&state, &buffer[..length], from),
+                // An earlier datagram came back as refused; the member's silence will tell.
+                Err(error) => {
+                    log::debug!("a datagram failed: {error}");
+                    Vec::new()
+                }
+            },
+            Ok(()) = leaving.changed() => state.gossip.borrow_mut().leave(now_us),
+        };
+        for send in sends {
+            deliver(&socket, &send).await;
+        }
+        state.publish();
+    }
+}
+
+/// Takes a datagram in, and returns the answer if it is owed one.
+fn hear(state: &ControlState, bytes: &[u8], from: SocketAddr) -> Vec<PeerSend> {
+    let datagram: PeerDatagram = match serde_json::from_slice(bytes) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log::warn!("a datagram from {from} cannot be read: {error}");
+            return Vec::new();
+        }
+    };
+    let reply = state.gossip.borrow_mut().hear(state.clock.now_us(), &datagram);
+    reply.into_iter().collect()
+}
+
+/// Sends a datagram; one that is lost is as good as one not sent.
+async fn deliver(socket: &UdpSocket, send: &PeerSend) {
+    let bytes = match serde_json::to_vec(&send.datagram) {
+        Ok(bytes) => bytes,
+        Err(error) => return log::error!("a heartbeat cannot be written: {error}"),
+    };
+    let address: SocketAddr = match send.peer_address.parse() {
+        Ok(address) => address,
+        Err(error) => return log::warn!("{} is no peer address: {error}", send.peer_address),
+    };
+    if let Err(error) = socket.send_to(&bytes, address).await {
+        log::debug!("a heartbeat to {} failed: {error}", send.peer_address);
+    }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/single.rs
@@ -0,0 +1,94 @@
+//! Serving a request that one replica of one service answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ecow::EcoString;
+use sassafrasproxy_core::{Fetch, FetchFailure, FetchStep};
+use sassafrasproxy_wire::Route;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::answer::{Answer, Refusal, pass_on, refuse};
+use crate::request::CallerRequest;
+use crate::traffic::Traffic;
+use crate::upstream::{SendEnd, SendSpec, Sends, UpstreamAnswer, is_failure, start_send};
+
+/// When a request that found no replica may come back, in milliseconds.
+///
+/// Replicas that failed are tried again after 100 ms at first.
+const RETRY_AFTER_MS: u64 = 100;
+
+/// Serves a request by one replica of a service.
+pub async fn serve(
+    traffic: &Rc<Traffic>,
+    request: Rc<CallerRequest>,
+    route: &Route,
+    service: EcoString,
+) -> Answer {
+    let plan = traffic.fetch_plan(route);
+    let end_us = request.end_us(route);
+    let mut fetch = Fetch::new(service);
+    let (ends, mut ended) = mpsc::unbounded_channel();
+    let mut sends = Sends::default();
+    let mut failure_answer: Option<UpstreamAnswer> = None;
+    traffic.budget.borrow_mut().note_request(fetch.service(), request.arrived_us);
+    loop {
+        let now_us = traffic.clock.now_us();
+        if now_us >= end_us {
+            sends.detach();
+            return time_out(&fetch, failure_answer);
+        }
+        let step = {
+            let (mut pool, mut budget) = (traffic.pool.borrow_mut(), traffic.budget.borrow_mut());
+            fetch.next(now_us, &plan, &mut pool, &mut budget)
+        };
+        let until_us = match step {
+            FetchStep::Send { replica, send, cause } => {
+                log::debug!("{} {replica}: {cause:?}", request.attempt_id);
+                let entry = traffic.pool.borrow().entry(&replica).cloned();
+                let Some(replica) = entry else { continue };
+                let spec = SendSpec {
+                    fetch: 0,
+                    request: request.clone(),
+                    route: route.name.clone(),
+                    replica,
+                    send,
+                    end_us,
+                };
+                sends.push(start_send(traffic, spec, ends.clone()));
+                continue;
+            }
+            FetchStep::Wait { until_us } => until_us.unwrap_or(end_us).min(end_us),
+            FetchStep::Failed(failure) => return fail(failure, failure_answer),
+        };
+        let wait = Duration::from_micros(until_us.saturating_sub(now_us));
+        let Ok(Some((_, end))) = timeout(wait, ended.recv()).await else { continue };
+        fetch.note(end.try_result());
+        if let SendEnd::Answered(answer) = end {
+            if !is_failure(answer.status) || !route.is_idempotent {
+                sends.detach();
+                return pass_on(answer);
+            }
+            failure_answer = Some(answer);
+        }
+    }
+}
+
+/// The final answer at the end of the caller's or the route's time.
+fn time_out(fetch: &Fetch, failure_answer: Option<UpstreamAnswer>) -> Answer {
+    if let Some(answer) = failure_answer {
+        return pass_on(answer);
+    }
+    let refusal = if fetch.may_have_run() { Refusal::TimedOut } else { Refusal::NotRun };
+    refuse(refusal, None)
+}
+
+/// The final answer when nothing more can be done: a replica's own failure before this node's.
+fn fail(failure: FetchFailure, failure_answer: Option<UpstreamAnswer>) -> Answer {
+    if let Some(answer) = failure_answer {
+        return pass_on(answer);
+    }
+    let refusal = if failure.may_have_run { Refusal::Lost } else { Refusal::NotRun };
+    refuse(refusal, Some(RETRY_AFTER_MS))
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/store.rs
@@ -0,0 +1,113 @@
+//! A client of the platform's store over one kept connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ecow::eco_format;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use sassafrasproxy_platform::{StoreCall, StoreError};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// How long a connection to the store may take to be made.
+///
+/// The store answers in milliseconds; a second covers a lost packet.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// After how long without traffic, and how often, an idle connection is probed.
+///
+/// A watch waits for seconds: probes show a peer that has lost the connection, or a path that
+/// is cut, before the watch would have come back.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How many probes without an answer end a connection.
+const PROBE_COUNT: u32 = 2;
+
+/// A client that makes one call at a time.
+#[derive(Debug)]
+pub struct StoreClient {
+    address: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl StoreClient {
+    /// A client that connects at its first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, sender: None }
+    }
+
+    /// Makes a call; after any failure the next one uses a new connection.
+    pub async fn call(
+        &mut self,
+        call: StoreCall,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let made = timeout(limit, self.call_unbounded(call)).await;
+        let result = made.unwrap_or_else(|_| {
+            Err(StoreError::NoAnswer { detail: eco_format!("nothing came in {limit:?}") })
+        });
+        if result.is_err() {
+            self.sender = None;
+        }
+        result
+    }
+
+    async fn call_unbounded(&mut self, call: StoreCall) -> Result<(StatusCode, Bytes), StoreError> {
+        let host = eco_format!("{}", self.address);
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(call.path.as_str())
+            .header(http::header::HOST, host.as_str());
+        if !call.body.is_empty() {
+            request = request.header(http::header::CONTENT_TYPE, "application/json");
+        }
+        let request = request.body(Full::new(call.body)).map_err(no_answer)?;
+        let sender = self.sender().await?;
+        let response = sender.send_request(request).await.map_err(no_answer)?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(no_answer)?;
+        Ok((status, body.to_bytes()))
+    }
+
+    async fn sender(&mut self) -> Result<&mut SendRequest<Full<Bytes>>, StoreError> {
+        let kept = match self.sender.take() {
+            Some(mut sender) => sender.ready().await.is_ok().then_some(sender),
+            None => None,
+        };
+        let sender = match kept {
+            Some(sender) => sender,
+            None => connect(self.address).await?,
+        };
+        Ok(self.sender.insert(sender))
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, StoreError> {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connected.map_err(no_answer)?.map_err(no_answer)?;
+    stream.set_nodelay(true).map_err(no_answer)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_COUNT);
+    if let Err(error) = SockRef::from(&stream).set_tcp_keepalive(&probes) {
+        log::warn!("the store's connection goes without probes: {error}");
+    }
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(no_answer)?;
+    spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a connection to the store ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+fn no_answer(error: impl std::fmt::Display) -> StoreError {
+    StoreError::NoAnswer { detail: eco_format!("{error}") }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -0,0 +1,158 @@
+//! The traffic thread's state.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ecow::EcoString;
+use indexmap::IndexMap;
+use sassafrasproxy_clock::Clock;
+use sassafrasproxy_config::GatewaySettings;
+use sassafrasproxy_core::{
+    Catalogue, FetchPlan, LatencyWindow, PoolSettings, RetryBudget, RetryBudgetPolicy,
+    SplitChooser, US_PER_MS, UpstreamPool,
+};
+use sassafrasproxy_wire::{Route, WeightedService};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use crate::connections::{Connections, connect};
+use crate::view::GatewayView;
+
+/// The quantile of a route's latencies after which a second send starts.
+///
+/// A tenth of the sends get a second one: half of what the budget allows at its usual ratio, so
+/// that the other half is left for retries.
+const HEDGE_QUANTILE: f64 = 0.9;
+
+/// What is added to that quantile, as a factor, so that sends about to end are left alone.
+const HEDGE_FACTOR: f64 = 1.2;
+
+/// The least time before a second send, in microseconds: about a round trip and a short run.
+const MIN_HEDGE_US: u64 = 4_000;
+
+/// The part of the latency goal that stands for a route's usual time before any was measured.
+const UNMEASURED_PART: u64 = 8;
+
+/// How long a connection made ahead of need may take.
+const WARM_CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Everything that serving requests needs; lives on the traffic thread.
+pub struct Traffic {
+    pub clock: Clock,
+    pub settings: Arc<GatewaySettings>,
+    pub view: RefCell<GatewayView>,
+    pub pool: RefCell<UpstreamPool>,
+    pub budget: RefCell<RetryBudget>,
+    pub connections: RefCell<Connections>,
+    latencies: RefCell<IndexMap<EcoString, LatencyWindow>>,
+    splits: RefCell<IndexMap<EcoString, SplitChooser>>,
+    /// Whether callers should move on to other nodes.
+    pub is_leaving: Cell<bool>,
+    /// Requests that are being served.
+    pub active: Cell<usize>,
+    /// Where this node starts in the turn of splits, 0 to 1.
+    spread: f64,
+}
+
+impl Traffic {
+    /// The state before any view.
+    pub fn new(clock: Clock, settings: Arc<GatewaySettings>) -> Self {
+        let pool = PoolSettings {
+            failure_domain: settings.failure_domain.clone(),
+            warmup_factor: settings.warmup.factor,
+            warmup_slack: settings.warmup.slack,
+        };
+        let budget = RetryBudgetPolicy {
+            ratio: settings.retry_budget.ratio,
+            fixed: settings.retry_budget.fixed,
+            window_us: settings.retry_budget.window_ms * US_PER_MS,
+        };
+        Self {
+            clock,
+            settings,
+            view: RefCell::default(),
+            pool: RefCell::new(UpstreamPool::new(pool)),
+            budget: RefCell::new(RetryBudget::new(budget, clock.now_us())),
+            connections: RefCell::default(),
+            latencies: RefCell::default(),
+            splits: RefCell::default(),
+            is_leaving: Cell::new(false),
+            active: Cell::new(0),
+            spread: rand::random(),
+        }
+    }
+
+    /// Takes every new view in, for as long as there is a control thread.
+    pub async fn follow(self: Rc<Self>, mut views: watch::Receiver<GatewayView>) {
+        loop {
+            let view = views.borrow_and_update().clone();
+            self.take_view(view);
+            if views.changed().await.is_err() {
+                return log::error!("the control thread has ended; the last view stays");
+            }
+        }
+    }
+
+    /// The catalogue in force.
+    pub fn catalogue(&self) -> Arc<Catalogue> {
+        self.view.borrow().catalogue.clone()
+    }
+
+    /// What bounds a fetch of a route, by the latencies that the route has shown.
+    pub fn fetch_plan(&self, route: &Route) -> FetchPlan {
+        let goal_us = route.latency_goal_ms * US_PER_MS;
+        let latencies = self.latencies.borrow();
+        let window = latencies.get(&route.name);
+        let quantile = |quantile| window.and_then(|window| window.quantile_us(quantile));
+        let expected_us = quantile(0.5).unwrap_or(goal_us / UNMEASURED_PART);
+        let late_us = quantile(HEDGE_QUANTILE).unwrap_or(goal_us / UNMEASURED_PART * 2);
+        FetchPlan {
+            expected_us,
+            hedge_after_us: ((late_us as f64 * HEDGE_FACTOR) as u64).max(MIN_HEDGE_US),
+            max_attempts: route.max_attempts,
+            is_idempotent: route.is_idempotent,
+            nodes: self.view.borrow().nodes.len(),
+        }
+    }
+
+    /// Notes how long an answer of a route took.
+    pub fn note_latency(&self, route: &EcoString, took_us: u64) {
+        let mut latencies = self.latencies.borrow_mut();
+        latencies.entry(route.clone()).or_default().record(took_us);
+    }
+
+    /// The service of a split whose turn it is.
+    pub fn choose_split(&self, route: &EcoString, parts: &[WeightedService]) -> Option<EcoString> {
+        let mut splits = self.splits.borrow_mut();
+        splits.entry(route.clone()).or_default().next(parts, self.spread)
+    }
+
+    fn take_view(self: &Rc<Self>, view: GatewayView) {
+        let now_us = self.clock.now_us();
+        let catalogue = view.catalogue.clone();
+        self.pool.borrow_mut().update(now_us, &catalogue, view.nodes.len());
+        self.connections.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
+        self.view.replace(view);
+        for (id, replica) in &catalogue.replicas {
+            if replica.is_open && !self.connections.borrow().has_idle(id) {
+                spawn_local(self.clone().warm(id.clone(), replica.entry.address));
+            }
+        }
+    }
+
+    /// Makes a connection to a replica before the first request needs it.
+    ///
+    /// The handshake takes a replica up to 6 ms, a seventh of the shortest latency goal; a new
+    /// set of shards would pay it on every shard of its first query.
+    async fn warm(self: Rc<Self>, id: EcoString, address: std::net::SocketAddr) {
+        match connect(address, WARM_CONNECT_LIMIT).await {
+            Ok(sender) => {
+                let now_us = self.clock.now_us();
+                self.connections.borrow_mut().put(&id, sender, now_us, None);
+            }
+            Err(error) => log::debug!("replica {id} cannot be reached yet: {error:#}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -0,0 +1,276 @@
+//! One send to an upstream replica.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ecow::EcoString;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use sassafrasproxy_core::{SendId, SendOutcome, TryResult, US_PER_MS};
+use sassafrasproxy_platform::{UpstreamHead, upstream_head, write_upstream_request};
+use sassafrasproxy_wire::ReplicaEntry;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::timeout;
+
+use crate::connections::{UpstreamSender, connect};
+use crate::request::CallerRequest;
+use crate::traffic::Traffic;
+
+/// The longest that a new connection may take.
+///
+/// Callers allow a second for theirs; a replica that takes half of that is as good as away.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// How long past its deadline a replica's answer is waited for.
+///
+/// A replica answers at the deadline itself; this covers the way back and a short queue.
+const ANSWER_MARGIN_US: u64 = 50_000;
+
+/// A replica's whole answer.
+#[derive(Debug, Clone)]
+pub struct UpstreamAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers as they came.
+    pub headers: HeaderMap,
+    /// What the headers say of the exchange.
+    pub head: UpstreamHead,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How a send ended.
+#[derive(Debug)]
+pub enum SendEnd {
+    /// The replica answered for itself, with a success or a failure.
+    Answered(UpstreamAnswer),
+    /// The replica says that it did not run the request.
+    NotRun,
+    /// Another replica has the address; it did not run the request.
+    Misdirected,
+    /// Nothing was sent.
+    Unsent,
+    /// It may have run, and no usable answer came.
+    Lost,
+}
+
+impl SendEnd {
+    /// What it means for the fetch.
+    pub fn try_result(&self) -> TryResult {
+        match self {
+            Self::Answered(answer) if is_failure(answer.status) => TryResult::MayHaveRun,
+            Self::Answered(_) => TryResult::Answered,
+            Self::NotRun => TryResult::NotRun,
+            Self::Misdirected | Self::Unsent => TryResult::Unsent,
+            Self::Lost => TryResult::MayHaveRun,
+        }
+    }
+
+    fn outcome(&self) -> SendOutcome {
+        match self {
+            Self::Answered(answer) if is_failure(answer.status) => SendOutcome::Faulty,
+            Self::Answered(_) => SendOutcome::Answered,
+            Self::NotRun => SendOutcome::Refused,
+            Self::Misdirected => SendOutcome::Misdirected,
+            Self::Unsent => SendOutcome::Unreachable,
+            Self::Lost => SendOutcome::Lost,
+        }
+    }
+}
+
+/// Whether a replica's answer is a failure that another replica may not have.
+pub fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+/// What a send needs.
+pub struct SendSpec {
+    /// Which fetch of the request it belongs to.
+    pub fetch: usize,
+    /// The caller's request.
+    pub request: Rc<CallerRequest>,
+    /// The route, for its latencies.
+    pub route: EcoString,
+    /// The replica.
+    pub replica: Arc<ReplicaEntry>,
+    /// The send, as the pool knows it.
+    pub send: SendId,
+    /// When the replica stops, in microseconds.
+    pub end_us: u64,
+}
+
+/// The sends of one request.
+///
+/// Dropped with the request when its caller leaves: then the replicas must stop too, which they
+/// do when their connections close.
+#[derive(Debug, Default)]
+pub struct Sends {
+    tasks: Vec<AbortHandle>,
+}
+
+impl Sends {
+    /// Adds a send.
+    pub fn push(&mut self, task: AbortHandle) {
+        self.tasks.push(task);
+    }
+
+    /// Lets the sends that are still under way end by themselves.
+    pub fn detach(&mut self) {
+        self.tasks.clear();
+    }
+}
+
+impl Drop for Sends {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts a send in a task of its own, which reports its end and keeps the connection.
+///
+/// The task outlives a request that is answered without it: closing its connection would make
+/// the replica spend a slot on a new one.
+pub fn start_send(
+    traffic: &Rc<Traffic>,
+    spec: SendSpec,
+    ends: mpsc::UnboundedSender<(usize, SendEnd)>,
+) -> AbortHandle {
+    let traffic = traffic.clone();
+    let task = spawn_local(async move {
+        let fetch = spec.fetch;
+        let mut noted = NotedSend {
+            traffic: traffic.clone(),
+            replica: spec.replica.id.clone(),
+            send: spec.send,
+            outcome: SendOutcome::Cancelled,
+            reported: None,
+        };
+        let started_us = traffic.clock.now_us();
+        let end = run(&traffic, &spec).await;
+        noted.outcome = end.outcome();
+        if let SendEnd::Answered(answer) = &end {
+            noted.reported = answer.head.running.zip(answer.head.waiting).map(|(a, b)| a + b);
+            if !is_failure(answer.status) {
+                traffic.note_latency(&spec.route, traffic.clock.now_us() - started_us);
+            }
+        }
+        drop(noted);
+        // The request may have been answered without this send.
+        let _ = ends.send((fetch, end));
+    });
+    task.abort_handle()
+}
+
+/// Tells the pool how a send ended, also when its task is aborted.
+struct NotedSend {
+    traffic: Rc<Traffic>,
+    replica: EcoString,
+    send: SendId,
+    outcome: SendOutcome,
+    reported: Option<u32>,
+}
+
+impl Drop for NotedSend {
+    fn drop(&mut self) {
+        let now_us = self.traffic.clock.now_us();
+        let mut pool = self.traffic.pool.borrow_mut();
+        pool.finish(&self.replica, self.send, now_us, self.outcome, self.reported);
+    }
+}
+
+async fn run(traffic: &Traffic, spec: &SendSpec) -> SendEnd {
+    let id = &spec.replica.id;
+    let sender = match ready_sender(traffic, spec).await {
+        Ok(sender) => sender,
+        Err(error) => {
+            log::info!("{} {id}: no connection: {error:#}", spec.request.attempt_id);
+            return SendEnd::Unsent;
+        }
+    };
+    let now_us = traffic.clock.now_us();
+    let left_us = spec.end_us.saturating_sub(now_us);
+    if left_us < US_PER_MS {
+        traffic.connections.borrow_mut().put(id, sender, now_us, None);
+        return SendEnd::Unsent;
+    }
+    let limit = Duration::from_micros(left_us + ANSWER_MARGIN_US);
+    match timeout(limit, exchange(traffic, spec, sender, left_us / US_PER_MS)).await {
+        Ok(end) => end,
+        Err(_) => {
+            log::info!("{} {id}: silent for {limit:?}", spec.request.attempt_id);
+            traffic.connections.borrow_mut().drop_idle(id);
+            SendEnd::Lost
+        }
+    }
+}
+
+/// A connection that can take a request now: a kept one, or a new one.
+async fn ready_sender(traffic: &Traffic, spec: &SendSpec) -> eyre::Result<UpstreamSender> {
+    loop {
+        let now_us = traffic.clock.now_us();
+        let kept = traffic.connections.borrow_mut().take(&spec.replica.id, now_us);
+        let Some(mut sender) = kept else { break };
+        if sender.ready().await.is_ok() {
+            return Ok(sender);
+        }
+    }
+    let left = Duration::from_micros(spec.end_us.saturating_sub(traffic.clock.now_us()));
+    connect(spec.replica.address, left.min(CONNECT_LIMIT)).await
+}
+
+/// Sends the request and reads the whole answer.
+async fn exchange(
+    traffic: &Traffic,
+    spec: &SendSpec,
+    mut sender: UpstreamSender,
+    left_ms: u64,
+) -> SendEnd {
+    let (request, id) = (&spec.request, &spec.replica.id);
+    let mut upstream = Request::new(Full::new(request.body.clone()));
+    *upstream.method_mut() = request.method.clone();
+    *upstream.uri_mut() = request.uri.clone();
+    *upstream.headers_mut() = request.headers.clone();
+    write_upstream_request(upstream.headers_mut(), id, left_ms);
+    let response = match sender.try_send_request(upstream).await {
+        Ok(response) => response,
+        Err(error) => {
+            let is_unsent = error.message().is_some();
+            log::info!("{} {id}: no answer: {}", request.attempt_id, error.error());
+            return if is_unsent { SendEnd::Unsent } else { SendEnd::Lost };
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!("{} {id}: the answer broke off: {error}", request.attempt_id);
+            return SendEnd::Lost;
+        }
+    };
+    let head = upstream_head(parts.status, &parts.headers);
+    // An answer to an earlier request that came late: the connection is off by one for good.
+    if head.attempt_id.as_ref().is_some_and(|echoed| *echoed != request.attempt_id) {
+        log::info!("{} {id}: the answer belongs to another request", request.attempt_id);
+        return SendEnd::Lost;
+    }
+    if !head.is_closing {
+        let now_us = traffic.clock.now_us();
+        traffic.connections.borrow_mut().put(id, sender, now_us, head.keep_alive_ms);
+    }
+    if head.is_misdirected {
+        return SendEnd::Misdirected;
+    }
+    if head.is_not_run {
+        return SendEnd::NotRun;
+    }
+    if head.stamp.is_none() {
+        log::info!("{} {id}: an answer without a signature", request.attempt_id);
+        return SendEnd::Lost;
+    }
+    SendEnd::Answered(UpstreamAnswer { status: parts.status, headers: parts.headers, head, body })
+}
--- a/crates/sassafrasproxy-node/src/claims.rs
+++ b/crates/sassafrasproxy-node/src/claims.rs
@@ -4,13 +4,13 @@
 
 use ecow::{EcoString, eco_format};
 use indexmap::IndexMap;
+use sassafrasproxy_clock::wall_ms;
 use sassafrasproxy_core::{
     ClaimBucket, ClaimEffect, ClaimEvent, StoreCall, StoreResult, Ticket, bucket_of,
 };
 use sassafrasproxy_wire::{ClaimAnswer, ClaimRequest, Ending, RecordRequest};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::wall_ms;
 use crate::peers::PeerError;
 use crate::shared::Shared;
 use crate::{PlatformClient, PlatformError};
--- a/crates/sassafrasproxy-node/src/events.rs
+++ b/crates/sassafrasproxy-node/src/events.rs
@@ -5,10 +5,9 @@
 
 use ecow::EcoString;
 use log::{debug, info};
+use sassafrasproxy_clock::wall_ms;
 use sassafrasproxy_wire::{Event, EventKind, Hlc};
 
-use crate::clock::wall_ms;
-
 /// How many events a node keeps; VMs have no disks, and older ones are in the logs.
 const CAPACITY: usize = 8_192;
 
--- a/crates/sassafrasproxy-node/src/lib.rs
+++ b/crates/sassafrasproxy-node/src/lib.rs
@@ -3,7 +3,6 @@
 mod answers;
 mod callers;
 mod claims;
-mod clock;
 mod control;
 mod events;
 mod http;
--- a/crates/sassafrasproxy-node/src/peers.rs
+++ b/crates/sassafrasproxy-node/src/peers.rs
@@ -9,6 +9,7 @@
 use jsonrpsee::core::client::{ClientT, Error as RpcError};
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use sassafrasproxy_clock::Clock;
 use sassafrasproxy_wire::{
     CANCEL_METHOD, CLAIM_METHOD, CONFIGURATION_METHOD, CancelRequest, ClaimAnswer, ClaimRequest,
     ConfigurationRequest, HAND_OVER_METHOD, HOLDINGS_METHOD, HandOver, Heartbeat, NodeHoldings,
@@ -20,8 +21,6 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::clock::Clock;
-
 /// How long a new connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/crates/sassafrasproxy-node/src/shared.rs
+++ b/crates/sassafrasproxy-node/src/shared.rs
@@ -4,13 +4,13 @@
 
 use arc_swap::ArcSwap;
 use ecow::EcoString;
+use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::Settings;
 use sassafrasproxy_core::{ControlEvent, View};
 use tokio::sync::mpsc;
 
 use crate::PlatformClient;
 use crate::claims::Claims;
-use crate::clock::Clock;
 use crate::control::ControlInput;
 use crate::events::EventLog;
 use crate::lanes::Lanes;
--- a/crates/sassafrasproxy-node/src/upstreams.rs
+++ b/crates/sassafrasproxy-node/src/upstreams.rs
@@ -5,14 +5,13 @@
 use ecow::EcoString;
 use reqwest::header::{HeaderMap, RETRY_AFTER};
 use reqwest::{Client, Response, StatusCode};
+use sassafrasproxy_clock::Clock;
 use sassafrasproxy_core::{AttemptReport, AttemptResult, StatusReport, US_PER_MS};
 use sassafrasproxy_wire::{
     BOOT_ID_HEADER, Body, DEADLINE_HEADER, DRAINING_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER,
     SNAPSHOT_HEADER, SnapshotId, UpstreamQuery, UpstreamStatus,
 };
 
-use crate::clock::Clock;
-
 /// How long a status read or a cancellation may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(300);
 
