Take changed settings in on SIGHUP and without a signal, and learn facts from peers

Tests: gateway_settings (fails without the handler). Also: logs as fields, watches given up when peers know more, facts from peers while the store turns this node away, a share of the retry budget for nodes that have just started.

--- a/crates/sassafrasproxy-cli/src/gateway.rs
+++ b/crates/sassafrasproxy-cli/src/gateway.rs
@@ -27,7 +27,7 @@
         eprintln!("error: cannot start the thread for logs: {error}");
         return End::Refused.into();
     }
-    match Gateway::new(settings).run() {
+    match Gateway::bind(settings, path.clone()).and_then(Gateway::run) {
         Ok(()) => End::Done.into(),
         Err(error) => {
             eprintln!("error: {error}");
--- a/crates/sassafrasproxy-cli/src/logging.rs
+++ b/crates/sassafrasproxy-cli/src/logging.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use env_logger::{Builder, Env, Target};
-use serde_json::json;
+use log::kv::{self, Key, VisitSource};
+use serde_json::{Value, json};
 
 /// The log target whose messages are JSON already.
 const TIMELINE_TARGET: &str = "timeline";
@@ -47,7 +48,10 @@
                 "level": record.level().as_str(),
                 "target": record.target(),
             });
-            match (record.target(), serde_json::from_str::<serde_json::Value>(&message)) {
+            if let Err(error) = record.key_values().visit(&mut FieldWriter { line: &mut line }) {
+                line["bad_field"] = error.to_string().into();
+            }
+            match (record.target(), serde_json::from_str::<Value>(&message)) {
                 (TIMELINE_TARGET, Ok(event)) => line["event"] = event,
                 _ => line["message"] = message.into(),
             }
@@ -57,6 +61,22 @@
     Ok(())
 }
 
+/// Writes the fields of a log record into its line.
+struct FieldWriter<'a> {
+    line: &'a mut Value,
+}
+
+impl<'a> VisitSource<'a> for FieldWriter<'_> {
+    fn visit_pair(&mut self, key: Key<'a>, value: kv::Value<'a>) -> Result<(), kv::Error> {
+        let number = value.to_u64().map(Value::from);
+        let number = number.or_else(|| value.to_f64().map(Value::from));
+        let flag = value.to_bool().map(Value::from);
+        let field = number.or(flag).unwrap_or_else(|| value.to_string().into());
+        self.line[key.as_str()] = field;
+        Ok(())
+    }
+}
+
 /// Takes lines without ever blocking, and hands them to a thread that writes them.
 struct LineQueue {
     lines: SyncSender<Vec<u8>>,
--- /dev/null
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -0,0 +1,174 @@
+//! Gateways around stand-ins of the users' platform.
+
+#![allow(dead_code, clippy::unwrap_used, reason = "each test file uses its part")]
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use sassafrasproxy_platform_standin::{
+    CallerAnswer, GatewayProcess, ReplicaStandIn, StoreStandIn, ask,
+};
+use serde_json::{Value, json};
+
+/// How long a test waits for a state before it counts as never reached.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The host of all routes.
+pub const HOST: &str = "shop.example";
+
+/// How many shards the gathered route has.
+pub const SHARDS: usize = 4;
+
+/// A store, replicas and gateways.
+pub struct System {
+    pub store: StoreStandIn,
+    /// Two for each shard, those of one shard side by side, then two of `desk`.
+    pub replicas: Vec<ReplicaStandIn>,
+    pub gateways: Vec<GatewayProcess>,
+    pub version: u64,
+}
+
+impl System {
+    /// Starts a number of gateways over some shards and one service.
+    pub async fn start(gateways: usize) -> Self {
+        let store = StoreStandIn::start();
+        let mut replicas = Vec::new();
+        for shard in 0..SHARDS {
+            for copy in ["a", "b"] {
+                let id = format!("s{shard}{copy}");
+                // Each shard's records: one great and one small, told apart by their last byte.
+                let body = [record(200 + shard as u8), record(shard as u8)].concat();
+                replicas.push(ReplicaStandIn::start(&id, &format!("shard-{shard}"), body));
+            }
+        }
+        for copy in ["a", "b"] {
+            replicas.push(ReplicaStandIn::start(&format!("d{copy}"), "desk", "found"));
+        }
+        let mut system = Self { store, replicas, gateways: Vec::new(), version: 0 };
+        system.publish(routes());
+        for (at, replica) in system.replicas.iter().enumerate() {
+            replica.register(&system.store, ["west", "east"][at % 2], "ready");
+        }
+        for _ in 0..gateways {
+            system.add_gateway();
+        }
+        for at in 0..gateways {
+            system.ask_until(at, "/desk/1", |answer| answer.status == 200).await;
+        }
+        system
+    }
+
+    /// Starts one more gateway.
+    pub fn add_gateway(&mut self) -> usize {
+        let number = self.gateways.len();
+        let seeds: Vec<_> = self.gateways.iter().map(GatewayProcess::peers).collect();
+        let name = format!("vm-{number}");
+        let store = self.store.address();
+        let gateway = GatewayProcess::start(binary(), &name, "west", store, &seeds).unwrap();
+        self.gateways.push(gateway);
+        number
+    }
+
+    /// Publishes a new version of the configuration.
+    pub fn publish(&mut self, routes: Value) {
+        self.version += 3;
+        let services: Vec<Value> = (0..SHARDS)
+            .map(|shard| format!("shard-{shard}"))
+            .chain(["desk".to_owned()])
+            .map(|name| {
+                json!({
+                    "name": name,
+                    "health_path": "/health",
+                    "max_connections": 64,
+                    "protocol": "h1",
+                    "tls": false,
+                    "warmup_s": 0.0,
+                    "warmup_per_s": 0.0,
+                })
+            })
+            .collect();
+        let configuration = json!({
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 65_536,
+                "header_timeout_ms": 3_000,
+                "idle_timeout_ms": 15_000,
+            },
+        });
+        self.store.put("op/config", configuration.to_string());
+    }
+
+    /// The replica with an id.
+    pub fn replica(&self, id: &str) -> &ReplicaStandIn {
+        self.replicas.iter().find(|replica| replica.id() == id).unwrap()
+    }
+
+    /// Asks a gateway once.
+    pub async fn ask(&self, gateway: usize, path: &str) -> CallerAnswer {
+        ask(self.gateways[gateway].callers(), HOST, path, &fresh_id(), 2_000).await.unwrap()
+    }
+
+    /// Asks a gateway until an answer meets a condition.
+    pub async fn ask_until(
+        &self,
+        gateway: usize,
+        path: &str,
+        is_met: impl Fn(&CallerAnswer) -> bool,
+    ) -> CallerAnswer {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.ask(gateway, path).await;
+            if is_met(&answer) {
+                return answer;
+            }
+            let lines = self.gateways[gateway].lines();
+            assert!(Instant::now() < end, "never met; last {answer:?}; log {lines:#?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// The routes of the test system.
+pub fn routes() -> Value {
+    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
+    json!([
+        {
+            "name": "r-all", "host": HOST, "prefix": "/all/", "route_type": "idempotent",
+            "timeout_ms": 1_000, "latency_goal_ms": 400, "priority": 1, "gather": shards,
+            "max_attempts": 2, "top_k": 3, "min_coverage": 0.75,
+        },
+        {
+            "name": "r-desk", "host": HOST, "prefix": "/desk/", "route_type": "idempotent",
+            "timeout_ms": 1_000, "latency_goal_ms": 400, "priority": 1, "service": "desk",
+            "max_attempts": 2,
+        },
+        {
+            "name": "r-order", "host": HOST, "prefix": "/desk/order/",
+            "route_type": "non_idempotent", "timeout_ms": 1_000, "latency_goal_ms": 400,
+            "priority": 1, "service": "desk", "max_attempts": 2,
+        },
+    ])
+}
+
+/// A record whose last byte is `last`.
+pub fn record(last: u8) -> Vec<u8> {
+    let mut record = vec![0; 16];
+    record[0] = last;
+    record[15] = last;
+    record
+}
+
+/// An attempt id that no other request has.
+pub fn fresh_id() -> String {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("attempt-{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// The binary under test.
+pub fn binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_sassafrasproxy"))
+}
--- a/crates/sassafrasproxy-core/src/forward/discovery.rs
+++ b/crates/sassafrasproxy-core/src/forward/discovery.rs
@@ -83,6 +83,13 @@
     },
     /// The list ended: what it did not name is gone.
     ListEnded,
+    /// A peer that follows the store further told all it knows.
+    PeerFacts {
+        /// Its facts, each with its revision in the store.
+        facts: Vec<(Fact, u64)>,
+        /// How far the peer follows the store.
+        revision: u64,
+    },
     /// The store stopped answering.
     StoreLost,
     /// The store answers again.
@@ -190,6 +197,9 @@
             DiscoveryEvent::Seen { fact, revision } => self.see(now_us, fact, revision),
             DiscoveryEvent::Gone { subject, revision } => self.lose(now_us, &subject, revision),
             DiscoveryEvent::ListEnded => self.end_list(now_us),
+            DiscoveryEvent::PeerFacts { facts, revision } => {
+                self.hear_peer(now_us, facts, revision);
+            }
             DiscoveryEvent::StoreLost => self.is_store_away = true,
             DiscoveryEvent::StoreBack => self.come_back(now_us),
             DiscoveryEvent::Tick => self.drop_held(now_us),
@@ -292,6 +302,34 @@
         }
     }
 
+    /// Takes a peer's facts in, and lets go what the peer, knowing more, does not name.
+    fn hear_peer(&mut self, now_us: u64, facts: Vec<(Fact, u64)>, revision: u64) {
+        let named: IndexSet<Subject> = facts.iter().map(|(fact, _)| fact.subject()).collect();
+        for (fact, revision) in facts {
+            self.see(now_us, fact, revision);
+        }
+        let is_dropped =
+            |subject: Subject, known: u64| known < revision && !named.contains(&subject);
+        let domains = self.domains_out.iter();
+        let back: Vec<EcoString> = domains
+            .filter(|(domain, (known, _))| {
+                is_dropped(Subject::DomainOut((*domain).clone()), *known)
+            })
+            .map(|(domain, _)| domain.clone())
+            .collect();
+        let replicas = self.replicas.iter();
+        let gone: Vec<EcoString> = replicas
+            .filter(|(id, known)| is_dropped(Subject::Replica((*id).clone()), known.revision))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for domain in back {
+            self.bring_back(&domain);
+        }
+        for id in gone {
+            self.drop_replica(id);
+        }
+    }
+
     fn see(&mut self, now_us: u64, fact: Fact, revision: u64) {
         match fact {
             Fact::Configuration(configuration) => self.adopt(configuration),
@@ -387,31 +425,29 @@
         if known.held_until_us.is_some() {
             return;
         }
-        if is_held {
-            known.held_until_us = Some(self.hold_until_us.max(now_us));
-        } else {
-            self.replicas.shift_remove(id);
-            self.is_changed = true;
+        if !is_held {
+            return self.drop_replica(id.clone());
         }
+        known.held_until_us = Some(self.hold_until_us.max(now_us));
         self.notes.push(DiscoveryNote::ReplicaGone { id: id.clone(), is_held });
     }
 
+    fn drop_replica(&mut self, id: EcoString) {
+        self.replicas.shift_remove(&id);
+        self.notes.push(DiscoveryNote::ReplicaGone { id, is_held: false });
+        self.is_changed = true;
+    }
+
     /// Lets held replicas go that did not register again in time.
     fn drop_held(&mut self, now_us: u64) {
         if self.is_store_away {
             return;
         }
         let due = |replica: &KnownReplica| replica.held_until_us.is_some_and(|at| at <= now_us);
-        let ids: IndexSet<EcoString> = self
-            .replicas
-            .iter()
-            .filter(|(_, replica)| due(replica))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let held = self.replicas.iter().filter(|(_, replica)| due(replica));
+        let ids: Vec<EcoString> = held.map(|(id, _)| id.clone()).collect();
         for id in ids {
-            self.replicas.shift_remove(&id);
-            self.notes.push(DiscoveryNote::ReplicaGone { id, is_held: false });
-            self.is_changed = true;
+            self.drop_replica(id);
         }
     }
 }
--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -164,7 +164,15 @@
         self.members.note_heard(now_us, heartbeat);
         self.store_revisions.insert(from.node.clone(), datagram.store_revision);
         self.probes.shift_remove(&from.node);
-        (!datagram.is_reply).then(|| self.send(from.peer_address.clone(), true))
+        // A node that is thought dead or suspected learns so at once, and refutes it.
+        let known = self.members.member(&from.node).map(Member::as_update);
+        let wrong = known.filter(|known| known.state != from.state);
+        if datagram.is_reply && wrong.is_none() {
+            return None;
+        }
+        let mut reply = self.send(from.peer_address.clone(), true);
+        reply.datagram.heartbeat.updates.extend(wrong);
+        Some(reply)
     }
 
     /// Announces that this node is leaving, to all peers at once.
--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -47,9 +47,6 @@
 /// The longest such pause, in microseconds: a replica that is back gets work within this time.
 const MAX_AVOID_US: u64 = 1_600_000;
 
-/// How many nodes are counted on before any is known, for each node's share of the connections.
-const MIN_NODES: usize = 8;
-
 /// Which send: grows with each, never used again.
 pub type SendId = u64;
 
@@ -90,7 +87,6 @@
     services: IndexMap<EcoString, Vec<EcoString>>,
     replicas: IndexMap<EcoString, ReplicaState>,
     next_send: SendId,
-    nodes: usize,
 }
 
 #[derive(Debug)]
@@ -152,18 +148,16 @@
 impl UpstreamPool {
     /// A pool without replicas.
     pub fn new(settings: PoolSettings) -> Self {
-        Self {
-            settings,
-            services: IndexMap::new(),
-            replicas: IndexMap::new(),
-            next_send: 1,
-            nodes: MIN_NODES,
-        }
+        Self { settings, services: IndexMap::new(), replicas: IndexMap::new(), next_send: 1 }
+    }
+
+    /// Takes changed settings in; they count from the next catalogue on.
+    pub fn set_settings(&mut self, settings: PoolSettings) {
+        self.settings = settings;
     }
 
     /// Takes a new catalogue in, and how many nodes share the replicas.
     pub fn update(&mut self, now_us: u64, catalogue: &Catalogue, nodes: usize) {
-        self.nodes = nodes.max(MIN_NODES);
         self.replicas.retain(|id, _| catalogue.replicas.contains_key(id));
         for (id, listed) in &catalogue.replicas {
             let service = catalogue.services.get(&listed.entry.service);
@@ -179,7 +173,7 @@
             let state = &mut self.replicas[id];
             state.entry = listed.entry.clone();
             state.is_open = listed.is_open;
-            state.limit(service, self.nodes, &self.settings);
+            state.limit(service, nodes.max(1), &self.settings);
             let cold_us = listed.entry.warmup_left_ms * crate::US_PER_MS;
             state.cold_until_us = (listed.seen_us + cold_us).max(now_us.min(state.cold_until_us));
         }
--- a/crates/sassafrasproxy-core/src/forward/retry_budget.rs
+++ b/crates/sassafrasproxy-core/src/forward/retry_budget.rs
@@ -9,6 +9,18 @@
 /// In how many steps the window slides.
 const SLOTS_PER_WINDOW: u64 = 10;
 
+/// The part of the fixed budget that running nodes share out.
+///
+/// What is left is for nodes that have just started: the life before may have spent its share in
+/// the same window.
+const FIXED_PART: f64 = 0.8;
+
+/// The part of its share that a node has at its start; it has the whole after one window.
+///
+/// If all nodes start again at once, they spend a quarter of 0.8 beside the 0.8 that was spent
+/// before: the whole budget, and no more.
+const START_PART: f64 = 0.25;
+
 /// What all nodes together may send beyond the first send of each request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudgetPolicy {
@@ -23,8 +35,7 @@
 /// This node's part of the budget, by service.
 ///
 /// The ratio applies to the requests that this node received itself, so the sum over all nodes
-/// keeps it without messages. The fixed part is divided by the number of nodes. A process that
-/// has just started earns its fixed part over one window: the life before it may have spent one.
+/// keeps it without messages. The fixed part is divided by the number of nodes.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     policy: RetryBudgetPolicy,
@@ -44,6 +55,14 @@
         Self { policy, started_us: now_us, services: IndexMap::new() }
     }
 
+    /// Takes a changed policy in; what was spent stays counted.
+    pub fn set_policy(&mut self, policy: RetryBudgetPolicy) {
+        if policy.window_us != self.policy.window_us {
+            self.services.clear();
+        }
+        self.policy = policy;
+    }
+
     /// Counts a request for a service.
     pub fn note_request(&mut self, service: &EcoString, now_us: u64) {
         self.slot(service, now_us).1 += 1;
@@ -53,7 +72,8 @@
     pub fn spend(&mut self, service: &EcoString, now_us: u64, nodes: usize) -> bool {
         let policy = self.policy;
         let age = now_us.saturating_sub(self.started_us) as f64 / policy.window_us as f64;
-        let fixed = policy.fixed / nodes.max(1) as f64 * age.min(1.0);
+        let share = policy.fixed * FIXED_PART / nodes.max(1) as f64;
+        let fixed = share * (START_PART + (1.0 - START_PART) * age.min(1.0));
         let slot = self.slot(service, now_us).0;
         let usage = &mut self.services[service];
         let requests: u32 = usage.slots.iter().map(|slot| slot.1).sum();
--- a/crates/sassafrasproxy-gateway/src/connections.rs
+++ b/crates/sassafrasproxy-gateway/src/connections.rs
@@ -91,7 +91,7 @@
     let (sender, connection) = handshake(TokioIo::new(stream)).await?;
     spawn_local(async move {
         if let Err(error) = connection.await {
-            log::debug!("a connection to {address} ended: {error}");
+            log::debug!(address:%, error:%; "a connection to a replica ended");
         }
     });
     Ok(sender)
--- a/crates/sassafrasproxy-gateway/src/directory.rs
+++ b/crates/sassafrasproxy-gateway/src/directory.rs
@@ -28,7 +28,7 @@
     let services: IndexSet<&EcoString> = routes.flat_map(|route| route.target.services()).collect();
     let counts = traffic.pool.borrow().domain_counts(services);
     let addresses = directory_addresses(&view.nodes, &counts, caller_domain.as_deref());
-    let body = directory_answer(&addresses, traffic.settings.address_keep_ms);
+    let body = directory_answer(&addresses, traffic.settings().address_keep_ms);
     let mut answer = Response::new(Full::new(Bytes::from(body)));
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     Ok(answer)
--- a/crates/sassafrasproxy-gateway/src/facts.rs
+++ b/crates/sassafrasproxy-gateway/src/facts.rs
@@ -28,7 +28,7 @@
     match fact {
         Ok(fact) => fact.map(|fact| DiscoveryEvent::Seen { fact, revision }),
         Err(error) => {
-            log::warn!("item ignored at revision {revision}: {error}");
+            log::warn!(revision, error:%; "an item of the store is ignored");
             Some(DiscoveryEvent::Gone { subject: subject(key)?, revision })
         }
     }
@@ -49,7 +49,7 @@
     match serde_json::from_slice(value) {
         Ok(registration) => Some(registration),
         Err(error) => {
-            log::warn!("the registration of node {name} cannot be read: {error}");
+            log::warn!(node:% = name, error:%; "a registration cannot be read");
             None
         }
     }
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/follow.rs
@@ -0,0 +1,107 @@
+//! Following the store: the calls that the reducer asks for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ecow::EcoString;
+use sassafrasproxy_core::{DiscoveryEvent, StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
+use sassafrasproxy_platform::{StoreCall, StoreError, WHOLE_STORE, decode_changes, decode_page};
+use tokio::time::sleep;
+
+use crate::control::{CALL_LIMIT, ControlState};
+use crate::facts::{change_event, item_event};
+use crate::http_client::KeptClient;
+
+/// How often a waiting watch is compared with what peers know.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// In how many comparisons in a row peers must know more before a watch is given up.
+///
+/// Between the returns of two watches for one change lies at most the pause after a change, a
+/// quarter of a second; a second is far beyond it.
+const COMPARISONS: u32 = 2;
+
+/// Lists and watches the store for as long as the process runs.
+pub async fn follow_store(state: Rc<ControlState>) {
+    let mut client = KeptClient::new(state.settings().store);
+    let mut sync = StoreSync::new(StoreSyncPolicy::default(), rand::random());
+    loop {
+        let now_us = state.clock.now_us();
+        let outcome = match sync.next(now_us) {
+            StoreStep::Pause { until_us } => {
+                sleep(Duration::from_micros(until_us.saturating_sub(now_us))).await;
+                continue;
+            }
+            StoreStep::List { after_key } => list(&state, &mut client, after_key.as_deref()).await,
+            StoreStep::Watch { after_revision, wait_ms } => tokio::select! {
+                outcome = wait_for_changes(&state, &mut client, after_revision, wait_ms) => outcome,
+                error = fall_behind(&state) => Err(error),
+            },
+        };
+        state.note_call(outcome.as_ref().err());
+        let outcome = outcome.unwrap_or_else(|error| {
+            log::info!(error:%; "a read of the store failed");
+            client.disconnect();
+            match error {
+                StoreError::HistoryGone => StoreOutcome::HistoryGone,
+                _ => StoreOutcome::Failed,
+            }
+        });
+        if sync.note(state.clock.now_us(), outcome) {
+            state.discover([DiscoveryEvent::ListEnded]);
+        }
+    }
+}
+
+/// Reads one page of the list.
+async fn list(
+    state: &ControlState,
+    client: &mut KeptClient,
+    after_key: Option<&str>,
+) -> Result<StoreOutcome, StoreError> {
+    let (status, body) = client.call(StoreCall::list(WHOLE_STORE, after_key), CALL_LIMIT).await?;
+    let page = decode_page(status, &body)?;
+    if after_key.is_none() {
+        state.discover([DiscoveryEvent::ListStarted]);
+    }
+    let last_key: Option<EcoString> = page.items.last().map(|item| item.key.clone());
+    let next_after = last_key.filter(|_| page.has_more);
+    if next_after.is_none() {
+        state.reach(page.revision);
+    }
+    state.discover(page.items.into_iter().filter_map(item_event));
+    Ok(StoreOutcome::Page { revision: page.revision, next_after })
+}
+
+/// Waits for changes.
+async fn wait_for_changes(
+    state: &ControlState,
+    client: &mut KeptClient,
+    after_revision: u64,
+    wait_ms: u64,
+) -> Result<StoreOutcome, StoreError> {
+    let limit = Duration::from_millis(wait_ms) + CALL_LIMIT;
+    let call = StoreCall::watch(WHOLE_STORE, after_revision, wait_ms);
+    let (status, body) = client.call(call, limit).await?;
+    let (changes, revision) = decode_changes(status, &body)?;
+    let has_changes = !changes.is_empty();
+    state.reach(revision);
+    state.discover(changes.into_iter().filter_map(change_event));
+    Ok(StoreOutcome::Watched { revision, has_changes })
+}
+
+/// Ends when peers have known more of the store than this node for a while.
+///
+/// Guards against a watch whose connection went silent: the change that it should have brought
+/// shows in the peers' heartbeats long before the watch would have come back.
+async fn fall_behind(state: &ControlState) -> StoreError {
+    let mut behind = 0;
+    while behind < COMPARISONS {
+        sleep(COMPARE_INTERVAL).await;
+        let is_behind = state.gossip.borrow().best_informed().is_some();
+        behind = if is_behind { behind + 1 } else { 0 };
+    }
+    StoreError::NoAnswer {
+        detail: "peers have heard of changes that the watch did not bring".into(),
+    }
+}
--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -58,7 +58,7 @@
     }
     let (parts, body) = request.into_parts();
     let head = caller_head(&parts.headers).map_err(|error| {
-        log::info!("request refused: {error}");
+        log::info!(error:%; "a request is refused");
         Refusal::BadRequest
     })?;
     let body = read_body(&catalogue, body).await?;
@@ -66,7 +66,8 @@
     let catalogue = traffic.catalogue();
     let route = catalogue.routes.pick(&head.host, parts.uri.path());
     let Some(route) = route.cloned() else {
-        log::info!("{} no route for {} {}", head.attempt_id, head.host, parts.uri.path());
+        let (request, host, path) = (&head.attempt_id, &head.host, parts.uri.path());
+        log::info!(request:%, host:%, path, version = catalogue.version; "no route");
         return Err(Refusal::NoRoute);
     };
     let attempt_id = head.attempt_id.clone();
@@ -83,8 +84,8 @@
         RouteTarget::Gather(target) => gather::serve(traffic, request, &route, target).await,
     };
     let took_ms = (traffic.clock.now_us() - arrived_us) / 1_000;
-    let (route, status) = (&route.name, answer.status().as_u16());
-    log::info!("{attempt_id} {route} v{}: {status} after {took_ms} ms", catalogue.version);
+    let (route, status, version) = (&route.name, answer.status().as_u16(), catalogue.version);
+    log::info!(request:% = attempt_id, route:%, status, took_ms, version; "answered");
     Ok(answer)
 }
 
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -1,11 +1,15 @@
 //! One gateway, from its settings to its graceful end.
 
-use std::net::SocketAddr;
+use std::convert::Infallible;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ecow::{EcoString, eco_format};
+use ecow::eco_format;
+use http::Request;
+use hyper::body::Incoming;
 use sassafrasproxy_clock::{Clock, wall_ms};
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_wire::{MemberState, MemberUpdate};
@@ -16,10 +20,12 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::answer::Answer;
+use crate::control::{self, ControlStart};
 use crate::listener::{self, ConnectionLimits};
 use crate::traffic::Traffic;
 use crate::view::GatewayView;
-use crate::{control, directory, front};
+use crate::{directory, front};
 
 /// The largest head of a question to the directory or the readiness check, in bytes.
 const SMALL_HEAD_BYTES: usize = 8_192;
@@ -58,99 +64,151 @@
     Start(#[from] std::io::Error),
 }
 
-/// A gateway that was set up.
+/// A gateway that listens.
 pub struct Gateway {
     settings: Arc<GatewaySettings>,
+    settings_file: PathBuf,
+    sockets: Sockets,
+}
+
+/// The sockets of a gateway.
+struct Sockets {
+    callers: std::net::TcpListener,
+    ready: std::net::TcpListener,
+    directory: std::net::TcpListener,
+    metrics: Option<std::net::TcpListener>,
+    facts: std::net::TcpListener,
+    heartbeats: UdpSocket,
 }
 
 impl Gateway {
-    /// A gateway with checked settings.
-    pub fn new(settings: GatewaySettings) -> Self {
-        Self { settings: Arc::new(settings) }
+    /// Listens as the checked settings of a file say; port 0 takes any free port.
+    pub fn bind(settings: GatewaySettings, settings_file: PathBuf) -> Result<Self, GatewayError> {
+        let sockets = Sockets::bind(&settings)?;
+        Ok(Self { settings: Arc::new(settings), settings_file, sockets })
     }
 
     /// Runs on this thread until the graceful shutdown that SIGTERM or SIGINT starts has ended.
     pub fn run(self) -> Result<(), GatewayError> {
         let clock = Clock::start();
+        let me = self.me()?;
         let (view_sender, views) = watch::channel(GatewayView::default());
         let (leave, leaving) = watch::channel(false);
-        let me = self.me();
-        let settings = self.settings.clone();
+        let (settings, settings_changes) = watch::channel(self.settings.clone());
+        let Sockets { callers, ready, directory, metrics, facts, heartbeats } = self.sockets;
+        let start = ControlStart {
+            clock,
+            settings,
+            settings_file: self.settings_file,
+            me,
+            heartbeats,
+            facts,
+            view: view_sender,
+            leaving,
+        };
         std::thread::Builder::new().name("control".into()).spawn(move || {
-            if let Err(error) = control::run(clock, settings, me, view_sender, leaving) {
-                log::error!("the control thread could not start: {error}");
+            if let Err(error) = control::run(start) {
+                log::error!(error:%; "the control thread could not start");
             }
         })?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let local = LocalSet::new();
-        local.block_on(&runtime, serve(clock, self.settings, views, leave))
+        LocalSet::new().block_on(&runtime, async {
+            let traffic = Rc::new(Traffic::new(clock, self.settings));
+            spawn_local(traffic.clone().follow(views));
+            spawn_local(traffic.clone().follow_settings(settings_changes));
+            let (stop, stopping) = watch::channel(false);
+            let serving = Serving { traffic: traffic.clone(), stopping };
+            serving.spawn(callers, caller_limits, front::serve)?;
+            serving.spawn(ready, small_limits, directory::serve_ready)?;
+            serving.spawn(directory, small_limits, directory::serve_directory)?;
+            if let Some(metrics) = metrics {
+                serving.spawn(metrics, small_limits, directory::serve_ready)?;
+            }
+            wait_for_signal().await?;
+            log::info!("the node is leaving");
+            leave.send_replace(true);
+            shut_down(&traffic, &stop).await;
+            log::info!("the node has ended");
+            Ok(())
+        })
     }
 
-    fn me(&self) -> MemberUpdate {
-        MemberUpdate {
+    /// This node as its peers know it; logs where it listens.
+    fn me(&self) -> Result<MemberUpdate, GatewayError> {
+        let callers = self.sockets.callers.local_addr()?;
+        let directory = self.sockets.directory.local_addr()?;
+        let ready = self.sockets.ready.local_addr()?;
+        let peers = self.sockets.facts.local_addr()?;
+        let (node, domain) = (&self.settings.name, &self.settings.failure_domain);
+        log::info!(node:%, domain:%, callers:%, directory:%, ready:%, peers:%; "the node starts");
+        Ok(MemberUpdate {
             node: self.settings.name.clone(),
-            peer_address: text(self.settings.peer_listen),
-            address: text(self.settings.callers_listen),
+            peer_address: eco_format!("{peers}"),
+            address: eco_format!("{callers}"),
             failure_domain: self.settings.failure_domain.clone(),
             state: MemberState::Alive,
             // The wall time overrules what members remember of an earlier life of this name.
             incarnation: wall_ms(),
-        }
+        })
     }
 }
 
-/// Serves until the shutdown has ended.
-async fn serve(
-    clock: Clock,
-    settings: Arc<GatewaySettings>,
-    views: watch::Receiver<GatewayView>,
-    leave: watch::Sender<bool>,
-) -> Result<(), GatewayError> {
+impl Sockets {
+    fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
+        let facts = listen(settings.peer_listen)?;
+        // Heartbeats use the port number of the facts, so that a peer has one address.
+        let peers = facts.local_addr()?;
+        let heartbeats = UdpSocket::bind(peers)
+            .map_err(|error| GatewayError::Listen { address: peers, error })?;
+        heartbeats.set_nonblocking(true)?;
+        Ok(Self {
+            callers: listen(settings.callers_listen)?,
+            ready: listen(settings.ready_listen)?,
+            directory: listen(settings.directory_listen)?,
+            metrics: settings.metrics_listen.map(listen).transpose()?,
+            facts,
+            heartbeats,
+        })
+    }
+}
+
+/// What the listeners of the traffic thread share.
+struct Serving {
+    traffic: Rc<Traffic>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Serving {
+    fn spawn<F, S>(
+        &self,
+        listener: std::net::TcpListener,
+        limits: fn(&Traffic) -> ConnectionLimits,
+        serve: S,
+    ) -> std::io::Result<()>
+    where
+        S: Fn(Rc<Traffic>, Request<Incoming>) -> F + Copy + 'static,
+        F: Future<Output = Result<Answer, Infallible>> + 'static,
+    {
+        let listener = TcpListener::from_std(listener)?;
+        let (traffic, stopping) = (self.traffic.clone(), self.stopping.clone());
+        spawn_local(listener::run(listener, traffic, limits, serve, stopping));
+        Ok(())
+    }
+}
+
+async fn wait_for_signal() -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let callers = bind(settings.callers_listen).await?;
-    let ready = bind(settings.ready_listen).await?;
-    let questions = bind(settings.directory_listen).await?;
-    let traffic = Rc::new(Traffic::new(clock, settings.clone()));
-    let (stop, stopping) = watch::channel(false);
-    spawn_local(traffic.clone().follow(views));
-    let small = |_: &Traffic| ConnectionLimits { header_bytes: SMALL_HEAD_BYTES, idle: SMALL_IDLE };
-    spawn_local(listener::run(
-        callers,
-        traffic.clone(),
-        caller_limits,
-        front::serve,
-        stopping.clone(),
-    ));
-    spawn_local(listener::run(
-        ready,
-        traffic.clone(),
-        small,
-        directory::serve_ready,
-        stopping.clone(),
-    ));
-    spawn_local(listener::run(
-        questions,
-        traffic.clone(),
-        small,
-        directory::serve_directory,
-        stopping,
-    ));
-    log::info!("node {} serves callers on {}", settings.name, settings.callers_listen);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    log::info!("node {} is leaving", settings.name);
-    leave.send_replace(true);
-    shut_down(&traffic, &stop).await;
-    log::info!("node {} has ended", settings.name);
     Ok(())
 }
 
 /// Serves on until callers have moved on, lets requests end, and ends before the grace time does.
 async fn shut_down(traffic: &Traffic, stop: &watch::Sender<bool>) {
-    let grace = Duration::from_millis(traffic.settings.grace_ms);
+    let grace = Duration::from_millis(traffic.settings().grace_ms);
     traffic.is_leaving.set(true);
     sleep(grace.mul_f64(SERVE_PART)).await;
     stop.send_replace(true);
@@ -162,7 +220,7 @@
     };
     let left = grace.mul_f64(END_PART - SERVE_PART);
     if tokio::time::timeout(left, drained).await.is_err() {
-        log::warn!("{} requests are cut off by the end of the grace time", traffic.active.get());
+        log::warn!(requests = traffic.active.get(); "the grace time cuts requests off");
     }
 }
 
@@ -174,10 +232,13 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address).await.map_err(|error| GatewayError::Listen { address, error })
+fn small_limits(_: &Traffic) -> ConnectionLimits {
+    ConnectionLimits { header_bytes: SMALL_HEAD_BYTES, idle: SMALL_IDLE }
 }
 
-fn text(address: SocketAddr) -> EcoString {
-    eco_format!("{address}")
+fn listen(address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
+    let failed = |error| GatewayError::Listen { address, error };
+    let listener = std::net::TcpListener::bind(address).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    Ok(listener)
 }
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -153,16 +153,13 @@
             };
             match step {
                 FetchStep::Send { replica, send, cause } => {
-                    log::debug!("{} {replica}: {cause:?}", self.request.attempt_id);
+                    log::debug!(request:% = self.request.attempt_id, replica:%, cause:?; "a send starts");
                     self.send(at, &replica, send);
                 }
                 FetchStep::Wait { until_us } => return until_us.unwrap_or(u64::MAX),
                 FetchStep::Failed(failure) => {
-                    log::debug!(
-                        "{} {}: {failure:?}",
-                        self.request.attempt_id,
-                        shard.fetch.service()
-                    );
+                    let (request, service) = (&self.request.attempt_id, shard.fetch.service());
+                    log::debug!(request:%, service:%, failure:?; "a shard is given up");
                     shard.state = ShardState::Missing;
                 }
             }
--- a/crates/sassafrasproxy-gateway/src/store.rs
+++ b/crates/sassafrasproxy-gateway/src/http_client.rs
@@ -1,4 +1,4 @@
-//! A client of the platform's store over one kept connection.
+//! An HTTP client over one kept connection, for the store and for peers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,9 +15,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// How long a connection to the store may take to be made.
+/// How long a connection may take to be made.
 ///
-/// The store answers in milliseconds; a second covers a lost packet.
+/// Store and peers answer in milliseconds; a second covers a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// After how long without traffic, and how often, an idle connection is probed.
@@ -31,12 +31,12 @@
 
 /// A client that makes one call at a time.
 #[derive(Debug)]
-pub struct StoreClient {
+pub struct KeptClient {
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
 }
 
-impl StoreClient {
+impl KeptClient {
     /// A client that connects at its first call.
     pub fn new(address: SocketAddr) -> Self {
         Self { address, sender: None }
@@ -58,6 +58,11 @@
         result
     }
 
+    /// Drops the connection, so that the next call makes a new one.
+    pub fn disconnect(&mut self) {
+        self.sender = None;
+    }
+
     async fn call_unbounded(&mut self, call: StoreCall) -> Result<(StatusCode, Bytes), StoreError> {
         let host = eco_format!("{}", self.address);
         let mut request = Request::builder()
@@ -97,12 +102,12 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(PROBE_COUNT);
     if let Err(error) = SockRef::from(&stream).set_tcp_keepalive(&probes) {
-        log::warn!("the store's connection goes without probes: {error}");
+        log::warn!(error:%; "a connection goes without probes");
     }
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(no_answer)?;
     spawn_local(async move {
         if let Err(error) = connection.await {
-            log::debug!("a connection to the store ended: {error}");
+            log::debug!(error:%; "a connection to the store or a peer ended");
         }
     });
     Ok(sender)
--- a/crates/sassafrasproxy-gateway/src/listener.rs
+++ b/crates/sassafrasproxy-gateway/src/listener.rs
@@ -52,7 +52,7 @@
                 spawn_local(serve_connection(stream, traffic.clone(), limits, serve, stopping));
             }
             Err(error) => {
-                log::warn!("a connection could not be accepted: {error}");
+                log::warn!(error:%; "a connection could not be accepted");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -70,7 +70,7 @@
     F: Future<Output = Result<Answer, Infallible>> + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("a connection goes without nodelay: {error}");
+        log::debug!(error:%; "a connection goes without nodelay");
     }
     let service = service_fn(move |request| serve(traffic.clone(), request));
     let connection = Builder::new()
@@ -87,7 +87,7 @@
         }
     };
     if let Err(error) = result {
-        log::debug!("a connection ended: {error}");
+        log::debug!(error:%; "a connection ended");
     }
 }
 
--- a/crates/sassafrasproxy-gateway/src/peers.rs
+++ b/crates/sassafrasproxy-gateway/src/peers.rs
@@ -15,11 +15,7 @@
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 
 /// Sends and hears heartbeats until the process ends.
-pub async fn run(
-    state: Rc<ControlState>,
-    mut leaving: watch::Receiver<bool>,
-) -> std::io::Result<()> {
-    let socket = UdpSocket::bind(state.settings.peer_listen).await?;
+pub async fn run(state: Rc<ControlState>, socket: UdpSocket, mut leaving: watch::Receiver<bool>) {
     let mut ticks = interval(Duration::from_micros(GossipPolicy::default().tick_us));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -31,7 +27,7 @@
                 Ok((length, from)) => hear(&state, &buffer[..length], from),
                 // An earlier datagram came back as refused; the member's silence will tell.
                 Err(error) => {
-                    log::debug!("a datagram failed: {error}");
+                    log::debug!(error:%; "a datagram failed");
                     Vec::new()
                 }
             },
@@ -49,7 +45,7 @@
     let datagram: PeerDatagram = match serde_json::from_slice(bytes) {
         Ok(datagram) => datagram,
         Err(error) => {
-            log::warn!("a datagram from {from} cannot be read: {error}");
+            log::warn!(from:%, error:%; "a datagram cannot be read");
             return Vec::new();
         }
     };
@@ -61,13 +57,13 @@
 async fn deliver(socket: &UdpSocket, send: &PeerSend) {
     let bytes = match serde_json::to_vec(&send.datagram) {
         Ok(bytes) => bytes,
-        Err(error) => return log::error!("a heartbeat cannot be written: {error}"),
+        Err(error) => return log::error!(error:%; "a heartbeat cannot be written"),
     };
     let address: SocketAddr = match send.peer_address.parse() {
         Ok(address) => address,
-        Err(error) => return log::warn!("{} is no peer address: {error}", send.peer_address),
+        Err(error) => return log::warn!(peer:% = send.peer_address, error:%; "no peer address"),
     };
     if let Err(error) = socket.send_to(&bytes, address).await {
-        log::debug!("a heartbeat to {} failed: {error}", send.peer_address);
+        log::debug!(peer:% = send.peer_address, error:%; "a heartbeat failed");
     }
 }
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/register.rs
@@ -0,0 +1,64 @@
+//! Keeping this node registered in the store, where new nodes look for others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use sassafrasproxy_core::NodeRegistration;
+use sassafrasproxy_platform::{StoreCall, StoreError, decode_lease, decode_write, own_key};
+use sassafrasproxy_wire::{MemberState, MemberUpdate};
+use tokio::time::sleep;
+
+use crate::control::{CALL_LIMIT, ControlState};
+use crate::http_client::KeptClient;
+
+/// How long a registration lasts without being renewed, in milliseconds.
+///
+/// Only new nodes look for it; who is alive, heartbeats tell. So it may be long and cost little.
+const REGISTRATION_TTL_MS: u64 = 30_000;
+
+/// How often the registration is renewed: three times in its life.
+const RENEW_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The pause before a registration that failed is tried again.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+
+/// Keeps this node registered, also after its entry was taken away.
+pub async fn keep_registered(state: Rc<ControlState>, me: MemberUpdate) {
+    let mut client = KeptClient::new(state.settings().store);
+    let mut lease = None;
+    loop {
+        let is_there = state.discovery.borrow().is_registered(&me.node);
+        let result = match lease.filter(|_| is_there) {
+            Some(lease) => renew(&mut client, lease).await,
+            None => register(&mut client, &me).await.map(|id| lease = Some(id)),
+        };
+        let pause = match result {
+            Ok(()) => RENEW_INTERVAL,
+            Err(error) => {
+                log::info!(error:%; "this node's registration failed");
+                lease = None;
+                REGISTER_PAUSE.mul_f64(1.0 + rand::random::<f64>())
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+async fn renew(client: &mut KeptClient, lease: u64) -> Result<(), StoreError> {
+    let (status, _) = client.call(StoreCall::renew(lease), CALL_LIMIT).await?;
+    decode_write(status)
+}
+
+/// Registers this node under a new lease.
+async fn register(client: &mut KeptClient, me: &MemberUpdate) -> Result<u64, StoreError> {
+    let (status, body) = client.call(StoreCall::grant(REGISTRATION_TTL_MS), CALL_LIMIT).await?;
+    let lease = decode_lease(status, &body)?.id;
+    let member = MemberUpdate { state: MemberState::Alive, ..me.clone() };
+    let value = serde_json::to_vec(&NodeRegistration { member });
+    let value =
+        value.map_err(|error| StoreError::Garbled { detail: ecow::eco_format!("{error}") })?;
+    let put = StoreCall::put(&own_key(&me.node), &value, lease);
+    let (status, _) = client.call(put, CALL_LIMIT).await?;
+    decode_write(status)?;
+    Ok(lease)
+}
--- a/crates/sassafrasproxy-gateway/src/single.rs
+++ b/crates/sassafrasproxy-gateway/src/single.rs
@@ -45,7 +45,7 @@
         };
         let until_us = match step {
             FetchStep::Send { replica, send, cause } => {
-                log::debug!("{} {replica}: {cause:?}", request.attempt_id);
+                log::debug!(request:% = request.attempt_id, replica:%, cause:?; "a send starts");
                 let entry = traffic.pool.borrow().entry(&replica).cloned();
                 let Some(replica) = entry else { continue };
                 let spec = SendSpec {
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -35,13 +35,16 @@
 /// The part of the latency goal that stands for a route's usual time before any was measured.
 const UNMEASURED_PART: u64 = 8;
 
+/// How many nodes are counted on before any is known, for each node's share of what all share.
+const MIN_NODES: usize = 8;
+
 /// How long a connection made ahead of need may take.
 const WARM_CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// Everything that serving requests needs; lives on the traffic thread.
 pub struct Traffic {
     pub clock: Clock,
-    pub settings: Arc<GatewaySettings>,
+    settings: RefCell<Arc<GatewaySettings>>,
     pub view: RefCell<GatewayView>,
     pub pool: RefCell<UpstreamPool>,
     pub budget: RefCell<RetryBudget>,
@@ -52,6 +55,11 @@
     pub is_leaving: Cell<bool>,
     /// Requests that are being served.
     pub active: Cell<usize>,
+    /// The most nodes that this process has seen at once.
+    ///
+    /// Guards against a partition, in which each side would see few nodes and take the share of
+    /// the others in what all nodes must keep together.
+    node_count: Cell<usize>,
     /// Where this node starts in the turn of splits, 0 to 1.
     spread: f64,
 }
@@ -59,27 +67,18 @@
 impl Traffic {
     /// The state before any view.
     pub fn new(clock: Clock, settings: Arc<GatewaySettings>) -> Self {
-        let pool = PoolSettings {
-            failure_domain: settings.failure_domain.clone(),
-            warmup_factor: settings.warmup.factor,
-            warmup_slack: settings.warmup.slack,
-        };
-        let budget = RetryBudgetPolicy {
-            ratio: settings.retry_budget.ratio,
-            fixed: settings.retry_budget.fixed,
-            window_us: settings.retry_budget.window_ms * US_PER_MS,
-        };
         Self {
             clock,
-            settings,
             view: RefCell::default(),
-            pool: RefCell::new(UpstreamPool::new(pool)),
-            budget: RefCell::new(RetryBudget::new(budget, clock.now_us())),
+            pool: RefCell::new(UpstreamPool::new(pool_settings(&settings))),
+            budget: RefCell::new(RetryBudget::new(budget_policy(&settings), clock.now_us())),
+            settings: RefCell::new(settings),
             connections: RefCell::default(),
             latencies: RefCell::default(),
             splits: RefCell::default(),
             is_leaving: Cell::new(false),
             active: Cell::new(0),
+            node_count: Cell::new(MIN_NODES),
             spread: rand::random(),
         }
     }
@@ -90,11 +89,29 @@
             let view = views.borrow_and_update().clone();
             self.take_view(view);
             if views.changed().await.is_err() {
-                return log::error!("the control thread has ended; the last view stays");
+                return log::error!("the control thread has ended, the last view stays");
             }
         }
     }
 
+    /// Takes changed settings in, for as long as there is a control thread.
+    pub async fn follow_settings(
+        self: Rc<Self>,
+        mut changes: watch::Receiver<Arc<GatewaySettings>>,
+    ) {
+        while changes.changed().await.is_ok() {
+            let settings = changes.borrow_and_update().clone();
+            self.pool.borrow_mut().set_settings(pool_settings(&settings));
+            self.budget.borrow_mut().set_policy(budget_policy(&settings));
+            self.settings.replace(settings);
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
     /// The catalogue in force.
     pub fn catalogue(&self) -> Arc<Catalogue> {
         self.view.borrow().catalogue.clone()
@@ -113,7 +130,7 @@
             hedge_after_us: ((late_us as f64 * HEDGE_FACTOR) as u64).max(MIN_HEDGE_US),
             max_attempts: route.max_attempts,
             is_idempotent: route.is_idempotent,
-            nodes: self.view.borrow().nodes.len(),
+            nodes: self.node_count.get(),
         }
     }
 
@@ -132,7 +149,8 @@
     fn take_view(self: &Rc<Self>, view: GatewayView) {
         let now_us = self.clock.now_us();
         let catalogue = view.catalogue.clone();
-        self.pool.borrow_mut().update(now_us, &catalogue, view.nodes.len());
+        self.node_count.set(self.node_count.get().max(view.nodes.len()).max(view.registered));
+        self.pool.borrow_mut().update(now_us, &catalogue, self.node_count.get());
         self.connections.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.view.replace(view);
         for (id, replica) in &catalogue.replicas {
@@ -152,7 +170,23 @@
                 let now_us = self.clock.now_us();
                 self.connections.borrow_mut().put(&id, sender, now_us, None);
             }
-            Err(error) => log::debug!("replica {id} cannot be reached yet: {error:#}"),
+            Err(error) => log::debug!(replica:% = id, error:%; "a replica cannot be reached yet"),
         }
     }
 }
+
+fn pool_settings(settings: &GatewaySettings) -> PoolSettings {
+    PoolSettings {
+        failure_domain: settings.failure_domain.clone(),
+        warmup_factor: settings.warmup.factor,
+        warmup_slack: settings.warmup.slack,
+    }
+}
+
+fn budget_policy(settings: &GatewaySettings) -> RetryBudgetPolicy {
+    RetryBudgetPolicy {
+        ratio: settings.retry_budget.ratio,
+        fixed: settings.retry_budget.fixed,
+        window_us: settings.retry_budget.window_ms * US_PER_MS,
+    }
+}
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -102,6 +102,14 @@
     pub end_us: u64,
 }
 
+impl SendSpec {
+    /// Logs why a send brought nothing, with what it was.
+    fn note_failure(&self, error: &dyn std::fmt::Display) {
+        let (request, replica) = (&self.request.attempt_id, &self.replica.id);
+        log::info!(request:%, replica:%, error:%; "a send failed");
+    }
+}
+
 /// The sends of one request.
 ///
 /// Dropped with the request when its caller leaves: then the replicas must stop too, which they
@@ -188,7 +196,7 @@
     let sender = match ready_sender(traffic, spec).await {
         Ok(sender) => sender,
         Err(error) => {
-            log::info!("{} {id}: no connection: {error:#}", spec.request.attempt_id);
+            spec.note_failure(&format_args!("no connection: {error:#}"));
             return SendEnd::Unsent;
         }
     };
@@ -202,7 +210,7 @@
     match timeout(limit, exchange(traffic, spec, sender, left_us / US_PER_MS)).await {
         Ok(end) => end,
         Err(_) => {
-            log::info!("{} {id}: silent for {limit:?}", spec.request.attempt_id);
+            spec.note_failure(&format_args!("silent for {limit:?}"));
             traffic.connections.borrow_mut().drop_idle(id);
             SendEnd::Lost
         }
@@ -240,7 +248,7 @@
         Ok(response) => response,
         Err(error) => {
             let is_unsent = error.message().is_some();
-            log::info!("{} {id}: no answer: {}", request.attempt_id, error.error());
+            spec.note_failure(error.error());
             return if is_unsent { SendEnd::Unsent } else { SendEnd::Lost };
         }
     };
@@ -248,14 +256,14 @@
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            log::info!("{} {id}: the answer broke off: {error}", request.attempt_id);
+            spec.note_failure(&format_args!("the answer broke off: {error}"));
             return SendEnd::Lost;
         }
     };
     let head = upstream_head(parts.status, &parts.headers);
     // An answer to an earlier request that came late: the connection is off by one for good.
     if head.attempt_id.as_ref().is_some_and(|echoed| *echoed != request.attempt_id) {
-        log::info!("{} {id}: the answer belongs to another request", request.attempt_id);
+        spec.note_failure(&"the answer belongs to another request");
         return SendEnd::Lost;
     }
     if !head.is_closing {
@@ -269,7 +277,7 @@
         return SendEnd::NotRun;
     }
     if head.stamp.is_none() {
-        log::info!("{} {id}: an answer without a signature", request.attempt_id);
+        spec.note_failure(&"an answer without a signature");
         return SendEnd::Lost;
     }
     SendEnd::Answered(UpstreamAnswer { status: parts.status, headers: parts.headers, head, body })
