--- a/crates/sassafrasproxy-core/src/forward/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod gossip;
 mod pool;
 mod retry_budget;
+mod route_times;
 mod routes;
 mod split;
 mod store_sync;
@@ -26,6 +27,7 @@
 pub use self::gossip::{Gossip, GossipPolicy, MemberNote, PeerDatagram, PeerSend};
 pub use self::pool::{PoolSettings, SendId, SendOutcome, UpstreamPool};
 pub use self::retry_budget::{RetryBudget, RetryBudgetPolicy};
+pub use self::route_times::{Fanout, RouteTimes, SendTimes};
 pub use self::routes::RouteTable;
 pub use self::split::SplitChooser;
 pub use self::store_sync::{StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/shard_load.rs
@@ -0,0 +1,51 @@
+//! What callers get of queries over shards, under the loads and faults that users know.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod shards;
+
+use crate::shards::{Fault, Outcome, play, usual_load};
+
+const SEEDS: u64 = 4;
+
+/// The mean worth of each kind over some seeds.
+fn worths(load: impl Fn(u64) -> shards::Load) -> Vec<f64> {
+    let plays: Vec<Vec<Outcome>> = (1..=SEEDS).map(|seed| play(load(seed))).collect();
+    let kinds = plays[0].len();
+    let mean = |kind: usize| plays.iter().map(|play| play[kind].worth()).sum::<f64>();
+    let worths: Vec<f64> = (0..kinds).map(|kind| mean(kind) / SEEDS as f64).collect();
+    let extra: usize = plays.iter().flatten().map(|outcome| outcome.extra).sum();
+    let sends: usize = plays.iter().flatten().map(|outcome| outcome.sends).sum();
+    println!("worth by kind {worths:.3?}, {extra} extra of {sends} sends");
+    worths
+}
+
+/// Every replica stands still for 120 ms each 3 s. Half of all queries meet one that does, and
+/// would miss their goal without second sends and without steering round it.
+#[test]
+fn calm() {
+    let worths = worths(usual_load);
+    assert!(worths[0] > 0.97, "long queries: {}", worths[0]);
+    assert!(worths[1] > 0.95, "short queries: {}", worths[1]);
+}
+
+/// Seven of forty replicas are down and twelve work eight times as slowly, so that some shards
+/// have no sound replica. Short queries need 15 of 20 shards, which are there.
+#[test]
+fn many_slow() {
+    let load = |seed| {
+        let mut load = usual_load(seed);
+        // Shards 0 to 3 have no sound replica, 4 to 14 one.
+        for shard in 0..15 {
+            let copy = shard % 2;
+            let fault = if shard % 3 == 0 { Fault::Down } else { Fault::Slow(8.0) };
+            load.faults.insert((shard, copy), fault);
+            if shard < 4 {
+                load.faults.insert((shard, 1 - copy), Fault::Slow(8.0));
+            }
+        }
+        load
+    };
+    let worths = worths(load);
+    assert!(worths[1] > 0.5, "short queries: {}", worths[1]);
+}
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -10,31 +10,16 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CallerDelays, Catalogue, FetchPlan, LatencyWindow, PoolSettings, RetryBudget,
-    RetryBudgetPolicy, SplitChooser, US_PER_MS, UpstreamPool,
+    CallerDelays, Catalogue, Fanout, FetchPlan, PoolSettings, RetryBudget, RetryBudgetPolicy,
+    RouteTimes, SplitChooser, US_PER_MS, UpstreamPool,
 };
-use sassafrasproxy_wire::{Route, WeightedService};
+use sassafrasproxy_wire::{Route, RouteTarget, WeightedService};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use crate::connections::{Connections, connect};
 use crate::view::GatewayView;
 
-/// The quantile of a route's latencies after which a second send starts.
-///
-/// A tenth of the sends get a second one: half of what the budget allows at its usual ratio, so
-/// that the other half is left for retries.
-const HEDGE_QUANTILE: f64 = 0.9;
-
-/// What is added to that quantile, as a factor, so that sends about to end are left alone.
-const HEDGE_FACTOR: f64 = 1.2;
-
-/// The least time before a second send, in microseconds: about a round trip and a short run.
-const MIN_HEDGE_US: u64 = 4_000;
-
-/// The part of the latency goal that stands for a route's usual time before any was measured.
-const UNMEASURED_PART: u64 = 8;
-
 /// How many nodes are counted on before any is known, for each node's share of what all share.
 const MIN_NODES: usize = 8;
 
@@ -50,7 +35,7 @@
     pub budget: RefCell<RetryBudget>,
     pub connections: RefCell<Connections>,
     pub delays: RefCell<CallerDelays>,
-    latencies: RefCell<IndexMap<EcoString, LatencyWindow>>,
+    times: RefCell<IndexMap<EcoString, RouteTimes>>,
     splits: RefCell<IndexMap<EcoString, SplitChooser>>,
     /// Whether callers should move on to other nodes.
     pub is_leaving: Cell<bool>,
@@ -76,7 +61,7 @@
             settings: RefCell::new(settings),
             connections: RefCell::default(),
             delays: RefCell::default(),
-            latencies: RefCell::default(),
+            times: RefCell::default(),
             splits: RefCell::default(),
             is_leaving: Cell::new(false),
             active: Cell::new(0),
@@ -122,14 +107,15 @@
     /// What bounds a fetch of a route, by the latencies that the route has shown.
     pub fn fetch_plan(&self, route: &Route) -> FetchPlan {
         let goal_us = route.latency_goal_ms * US_PER_MS;
-        let latencies = self.latencies.borrow();
-        let window = latencies.get(&route.name);
-        let quantile = |quantile| window.and_then(|window| window.quantile_us(quantile));
-        let expected_us = quantile(0.5).unwrap_or(goal_us / UNMEASURED_PART);
-        let late_us = quantile(HEDGE_QUANTILE).unwrap_or(goal_us / UNMEASURED_PART * 2);
+        let fanout = match route.target {
+            RouteTarget::Gather(_) => Fanout::Shards,
+            RouteTarget::Service(_) | RouteTarget::Split(_) => Fanout::One,
+        };
+        let mut times = self.times.borrow_mut();
+        let times = times.entry(route.name.clone()).or_default().send_times(goal_us, fanout);
         FetchPlan {
-            expected_us,
-            hedge_after_us: ((late_us as f64 * HEDGE_FACTOR) as u64).max(MIN_HEDGE_US),
+            expected_us: times.expected_us,
+            hedge_after_us: times.hedge_after_us,
             max_attempts: route.max_attempts,
             is_idempotent: route.is_idempotent,
             nodes: self.node_count.get(),
@@ -138,8 +124,8 @@
 
     /// Notes how long an answer of a route took.
     pub fn note_latency(&self, route: &EcoString, took_us: u64) {
-        let mut latencies = self.latencies.borrow_mut();
-        latencies.entry(route.clone()).or_default().record(took_us);
+        let mut times = self.times.borrow_mut();
+        times.entry(route.clone()).or_default().record(took_us);
     }
 
     /// The service of a split whose turn it is.
