--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -303,8 +303,10 @@
         let connections = service.map_or(1, |service| service.max_connections as usize);
         self.max_in_flight = (connections / nodes).max(1);
         let rate = service.and_then(|service| service.warmup_per_s);
-        self.cold_rate =
-            rate.map(|rate| (rate * settings.warmup_factor + settings.warmup_slack) / nodes as f64);
+        let bound = |rate: f64| rate * settings.warmup_factor + settings.warmup_slack;
+        // One saved send and what is earned in a second make a node's share of a second.
+        let share = rate.map(|rate| bound(rate) / nodes as f64);
+        self.cold_rate = share.map(|share| (share - 1.0).max(share / 2.0));
     }
 
     fn is_usable(&self, now_us: u64) -> bool {
@@ -319,7 +321,7 @@
     fn cold_left(&self, now_us: u64) -> f64 {
         let rate = self.cold_rate.unwrap_or(0.0);
         let earned = now_us.saturating_sub(self.cold_tokens_us) as f64 / 1e6 * rate;
-        (self.cold_tokens + earned).min(rate.max(1.0))
+        (self.cold_tokens + earned).min(1.0)
     }
 
     fn spend_cold(&mut self, now_us: u64) {
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/directories.rs
@@ -0,0 +1,48 @@
+//! Which nodes callers are told to use.
+
+use indexmap::IndexMap;
+use sassafrasproxy_core::{DirectoryNode, directory_addresses};
+use sassafrasproxy_wire::MemberState;
+
+fn node(address: &str, domain: &str, state: MemberState) -> DirectoryNode {
+    DirectoryNode { address: address.into(), failure_domain: domain.into(), state }
+}
+
+fn addresses(nodes: &[DirectoryNode], counts: &[(&str, usize)], caller: &str) -> Vec<String> {
+    let counts: IndexMap<_, _> =
+        counts.iter().map(|(domain, count)| ((*domain).into(), *count)).collect();
+    let addresses = directory_addresses(nodes, &counts, Some(caller));
+    addresses.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn where_replicas_are() {
+    use MemberState::Alive;
+    let nodes = [
+        node("w1", "west", Alive),
+        node("w2", "west", Alive),
+        node("e1", "east", Alive),
+        node("n1", "north", Alive),
+        node("n2", "north", Alive),
+    ];
+    let counts = [("west", 20), ("east", 20)];
+    assert_eq!(addresses(&nodes, &counts, "west"), ["w1", "w2"]);
+    assert_eq!(addresses(&nodes, &counts, "east"), ["w1", "w2", "e1"], "one alone is too few");
+    assert_eq!(addresses(&nodes, &counts, "north"), ["w1", "w2", "e1"], "no replicas there");
+    assert_eq!(addresses(&nodes, &[], "north").len(), 5, "before any replica is known");
+}
+
+/// A node that leaves or is dead must not be named; one that is only suspected, where nothing
+/// else is left.
+#[test]
+fn states() {
+    use MemberState::{Alive, Dead, Leaving, Suspect};
+    let nodes = [
+        node("a", "west", Alive),
+        node("b", "west", Leaving),
+        node("c", "west", Suspect),
+        node("d", "west", Dead),
+    ];
+    assert_eq!(addresses(&nodes, &[("west", 2)], "west"), ["a", "c"]);
+    assert_eq!(addresses(&nodes[1..3], &[("west", 2)], "west"), ["c"]);
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -0,0 +1,164 @@
+//! What a node believes of configuration, replicas and failure domains.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use sassafrasproxy_core::{Catalogue, Discovery, DiscoveryEvent, Fact, Subject};
+use sassafrasproxy_wire::{ReplicaEntry, RouteConfiguration};
+
+fn entry(id: &str) -> ReplicaEntry {
+    ReplicaEntry {
+        id: id.into(),
+        born_ms: 1,
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: "west".into(),
+        slots: 2,
+        is_draining: false,
+        warmup_left_ms: 0,
+    }
+}
+
+fn seen(entry: ReplicaEntry, revision: u64) -> DiscoveryEvent {
+    DiscoveryEvent::Seen { fact: Fact::Replica(entry), revision }
+}
+
+fn configuration(version: u64, revision: u64) -> DiscoveryEvent {
+    let configuration = RouteConfiguration { version, ..RouteConfiguration::default() };
+    DiscoveryEvent::Seen { fact: Fact::Configuration(configuration), revision }
+}
+
+fn gone(id: &str, revision: u64) -> DiscoveryEvent {
+    DiscoveryEvent::Gone { subject: Subject::Replica(id.into()), revision }
+}
+
+/// A discovery that has listed two replicas and configuration 5.
+fn listed() -> Discovery {
+    let mut discovery = Discovery::default();
+    let events = [
+        DiscoveryEvent::ListStarted,
+        configuration(5, 3),
+        seen(entry("a"), 4),
+        seen(entry("b"), 5),
+        DiscoveryEvent::ListEnded,
+    ];
+    events.into_iter().for_each(|event| discovery.step(0, event));
+    discovery
+}
+
+fn open(catalogue: &Catalogue) -> Vec<&str> {
+    let replicas = catalogue.replicas.iter();
+    replicas.filter(|(_, replica)| replica.is_open).map(|(id, _)| id.as_str()).collect()
+}
+
+/// A stale read, a late peer or a replayed watch brings an older configuration: routes that were
+/// dropped would be served again.
+#[test]
+fn never_back() {
+    let mut discovery = listed();
+    for event in [
+        configuration(4, 9),
+        DiscoveryEvent::Gone { subject: Subject::Configuration, revision: 9 },
+        DiscoveryEvent::PeerFacts { facts: Vec::new(), revision: 20 },
+    ] {
+        discovery.step(1, event);
+        assert_eq!(discovery.version(), 5);
+    }
+    discovery.step(1, configuration(11, 21));
+    assert_eq!(discovery.version(), 11);
+}
+
+/// A replica that drains, and one whose entry is taken away without that, get no new work.
+#[test]
+fn leaving() {
+    let mut discovery = listed();
+    discovery.step(1, seen(ReplicaEntry { is_draining: true, ..entry("a") }, 6));
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+    discovery.step(1, gone("b", 7));
+    let catalogue = discovery.take_catalogue().unwrap();
+    assert_eq!(open(&catalogue), [""; 0]);
+    assert!(!catalogue.replicas.contains_key("b"));
+}
+
+/// An old removal comes after a newer entry, as when pages and watch overlap.
+#[test]
+fn old_removal() {
+    let mut discovery = listed();
+    discovery.step(1, gone("a", 2));
+    discovery.step(1, DiscoveryEvent::Tick);
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["a", "b"]);
+}
+
+/// A list after a gap in the history does not name a replica: it is gone.
+#[test]
+fn missing_in_list() {
+    let mut discovery = listed();
+    for event in [
+        DiscoveryEvent::ListStarted,
+        configuration(5, 3),
+        seen(entry("b"), 5),
+        DiscoveryEvent::ListEnded,
+    ] {
+        discovery.step(1, event);
+    }
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+}
+
+/// The store is away for long and the replicas cannot renew their entries. When it returns, it
+/// reports all of them as gone. Callers would be refused for the two seconds until the replicas
+/// have registered again, though all are sound; one that does not register in time is gone.
+#[test]
+fn lapsed_entries() {
+    let mut discovery = listed();
+    discovery.take_catalogue();
+    discovery.step(10_000_000, DiscoveryEvent::StoreLost);
+    discovery.step(20_000_000, DiscoveryEvent::StoreBack);
+    discovery.step(20_100_000, gone("a", 8));
+    discovery.step(20_100_000, gone("b", 9));
+    assert!(discovery.take_catalogue().is_none(), "nothing was dropped");
+    discovery.step(21_500_000, seen(entry("a"), 12));
+    discovery.step(22_100_000, DiscoveryEvent::Tick);
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["a", "b"]);
+    discovery.step(22_300_000, DiscoveryEvent::Tick);
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["a"]);
+}
+
+/// With the store in reach, an entry that goes is a replica that leaves: it is dropped at once.
+#[test]
+fn no_hold_in_calm() {
+    let mut discovery = listed();
+    discovery.step(10_000_000, gone("a", 8));
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+}
+
+#[test]
+fn domain_out() {
+    let mut discovery = listed();
+    let fact = Fact::DomainOut("west".into());
+    discovery.step(1, DiscoveryEvent::Seen { fact, revision: 8 });
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), [""; 0]);
+    let subject = Subject::DomainOut("west".into());
+    discovery.step(2, DiscoveryEvent::Gone { subject, revision: 9 });
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["a", "b"]);
+}
+
+/// The store turns this node away while a failure domain is taken out, a replica leaves and a
+/// configuration comes. A peer that follows the store tells all of it.
+#[test]
+fn peer_tells() {
+    let mut discovery = listed();
+    discovery.step(1, DiscoveryEvent::StoreLost);
+    let next = RouteConfiguration { version: 9, ..RouteConfiguration::default() };
+    let facts = vec![(Fact::Configuration(next), 0), (Fact::Replica(entry("b")), 5)];
+    discovery.step(2, DiscoveryEvent::PeerFacts { facts, revision: 12 });
+    assert_eq!(discovery.version(), 9);
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+}
+
+/// What a peer does not name but learned nothing of either stays.
+#[test]
+fn peer_behind() {
+    let mut discovery = listed();
+    let facts = vec![(Fact::Replica(entry("a")), 4)];
+    discovery.step(2, DiscoveryEvent::PeerFacts { facts, revision: 4 });
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["a", "b"]);
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/gathers.rs
@@ -0,0 +1,52 @@
+//! When a query over shards is answered, and with what.
+
+use proptest::prelude::*;
+use sassafrasproxy_core::{GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step};
+
+const PLAN: GatherPlan = GatherPlan { shards: 20, min_parts: 18, stop_us: 70, end_us: 390 };
+
+#[test]
+fn stop_rule() {
+    let wait = |until_us| GatherStep::Wait { until_us };
+    let cases = [
+        // now, parts, pending, step
+        (0, 0, 20, wait(390)),
+        (10, 18, 2, wait(70)),
+        (70, 18, 2, GatherStep::Answer),
+        (70, 17, 3, wait(390)),
+        (200, 18, 2, GatherStep::Answer),
+        (10, 20, 0, GatherStep::Answer),
+        (10, 18, 0, GatherStep::Answer),
+        // Too few can still come: the caller hears so at once.
+        (10, 10, 7, GatherStep::GiveUp),
+        (390, 17, 3, GatherStep::GiveUp),
+    ];
+    for (now_us, parts, pending, step) in cases {
+        assert_eq!(next_gather_step(now_us, &PLAN, parts, pending), step, "{now_us} {parts}");
+    }
+}
+
+/// 0.75 of 20 is 15, whatever the fraction's last bit is.
+#[test]
+fn least_parts() {
+    let cases = [(20, 0.75, 15), (20, 0.89, 18), (30, 0.89, 27), (90, 0.95, 86), (3, 0.0, 1)];
+    for (shards, coverage, parts) in cases {
+        assert_eq!(GatherPlan::min_parts(shards, coverage), parts, "{shards} {coverage}");
+    }
+}
+
+proptest! {
+    /// The greatest records of all parts, equal ones too, and no remainder of a part.
+    #[test]
+    fn merged(
+        parts in prop::collection::vec(prop::collection::vec(0_u8..4, 0..100), 0..8),
+        top_k in 0_usize..30,
+    ) {
+        let mut expected: Vec<&[u8]> =
+            parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES)).collect();
+        expected.sort_by(|a, b| b.cmp(a));
+        expected.truncate(top_k);
+        let merged = merge_records(parts.iter().map(Vec::as_slice), top_k);
+        prop_assert_eq!(merged, expected.concat());
+    }
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -0,0 +1,126 @@
+//! Who is there, by heartbeats over datagrams.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::VecDeque;
+
+use ecow::eco_format;
+use indexmap::IndexSet;
+use sassafrasproxy_core::{Gossip, GossipPolicy, PeerSend};
+use sassafrasproxy_wire::{MemberState, MemberUpdate};
+
+const TICK_US: u64 = 500_000;
+
+/// Nodes that exchange datagrams in virtual time.
+struct Fleet {
+    nodes: Vec<Gossip>,
+    now_us: u64,
+    /// Nodes that neither send nor hear.
+    silent: IndexSet<usize>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let nodes = (0..count).map(|at| {
+            let me = MemberUpdate {
+                node: eco_format!("n{at}"),
+                peer_address: eco_format!("{at}"),
+                address: eco_format!("front-{at}"),
+                failure_domain: "west".into(),
+                state: MemberState::Alive,
+                incarnation: 1,
+            };
+            Gossip::new(&me, [eco_format!("0")], GossipPolicy::default(), at as u64, 0)
+        });
+        Self { nodes: nodes.collect(), now_us: 0, silent: IndexSet::new() }
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * 2 {
+            self.now_us += TICK_US;
+            for at in 0..self.nodes.len() {
+                if !self.silent.contains(&at) {
+                    let sends = self.nodes[at].tick(self.now_us);
+                    self.deliver(sends);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, sends: Vec<PeerSend>) {
+        let mut queue: VecDeque<PeerSend> = sends.into();
+        while let Some(send) = queue.pop_front() {
+            let to: usize = send.peer_address.parse().unwrap();
+            if !self.silent.contains(&to) {
+                queue.extend(self.nodes[to].hear(self.now_us, &send.datagram));
+            }
+        }
+    }
+
+    /// The states in which a node sees another.
+    fn state(&self, at: usize, other: usize) -> Option<MemberState> {
+        let address = eco_format!("front-{other}");
+        let nodes = self.nodes[at].directory_nodes();
+        nodes.iter().find(|node| node.address == address).map(|node| node.state)
+    }
+}
+
+#[test]
+fn all_meet() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(4);
+    for at in 0..8 {
+        assert_eq!(fleet.nodes[at].node_count(), 8, "node {at}");
+    }
+}
+
+/// A VM loses power. Callers would be sent to it for as long as the directory names it: within
+/// seven seconds no node may.
+#[test]
+fn death() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(4);
+    fleet.silent.insert(3);
+    fleet.run(5);
+    for at in (0..8).filter(|at| *at != 3) {
+        assert_eq!(fleet.state(at, 3), None, "seen by {at}");
+    }
+}
+
+/// A VM stands still for six seconds and wakes: it is thought dead, learns so and refutes it.
+#[test]
+fn wakes_again() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(4);
+    fleet.silent.insert(3);
+    fleet.run(6);
+    fleet.silent.clear();
+    fleet.run(4);
+    for at in 0..8 {
+        assert_eq!(fleet.state(at, 3), Some(MemberState::Alive), "seen by {at}");
+    }
+}
+
+/// A node that leaves tells all at once: no directory names it from then on.
+#[test]
+fn leaves() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(4);
+    let sends = fleet.nodes[5].leave(fleet.now_us);
+    fleet.deliver(sends);
+    for at in 0..8 {
+        assert_eq!(fleet.state(at, 5), Some(MemberState::Leaving), "seen by {at}");
+    }
+}
+
+/// The peer that follows the store furthest is asked, and none that knows less.
+#[test]
+fn best_informed() {
+    let mut fleet = Fleet::new(3);
+    fleet.nodes[0].set_progress(5, 40);
+    fleet.nodes[1].set_progress(5, 44);
+    fleet.run(4);
+    assert_eq!(fleet.nodes[2].best_informed().unwrap(), "1");
+    assert_eq!(fleet.nodes[0].best_informed().unwrap(), "1");
+    assert_eq!(fleet.nodes[1].best_informed(), None);
+}
--- /dev/null
+++ b/crates/sassafrasproxy-core/tests/store_follow.rs
@@ -0,0 +1,73 @@
+//! Following the store by list and watch.
+
+use sassafrasproxy_core::{StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
+
+fn sync() -> StoreSync {
+    StoreSync::new(StoreSyncPolicy::default(), 7)
+}
+
+fn page(revision: u64, next_after: Option<&str>) -> StoreOutcome {
+    StoreOutcome::Page { revision, next_after: next_after.map(Into::into) }
+}
+
+/// Items change while later pages are read. The watch starts at the first page's revision, so
+/// that no change falls between the pages.
+#[test]
+fn pages() {
+    let mut sync = sync();
+    assert_eq!(sync.next(0), StoreStep::List { after_key: None });
+    assert!(!sync.note(0, page(10, Some("k5"))));
+    assert_eq!(sync.next(0), StoreStep::List { after_key: Some("k5".into()) });
+    assert!(sync.note(0, page(14, None)));
+    assert!(matches!(sync.next(0), StoreStep::Watch { after_revision: 10, .. }));
+}
+
+/// A list that broke off starts anew: its first pages are no longer the newest.
+#[test]
+fn broken_list() {
+    let mut sync = sync();
+    sync.note(0, page(10, Some("k5")));
+    assert!(!sync.note(0, StoreOutcome::Failed));
+    let StoreStep::Pause { until_us } = sync.next(0) else { panic!("no pause") };
+    assert_eq!(sync.next(until_us), StoreStep::List { after_key: None });
+}
+
+/// The store forgets its history: what was missed comes by a new list.
+#[test]
+fn history_gone() {
+    let mut sync = sync();
+    sync.note(0, page(10, None));
+    sync.note(0, StoreOutcome::HistoryGone);
+    assert_eq!(sync.next(0), StoreStep::List { after_key: None });
+}
+
+/// A watch that failed goes on from where it was, after pauses that grow to a bound.
+#[test]
+fn failing_watch() {
+    let policy = StoreSyncPolicy::default();
+    let mut sync = sync();
+    sync.note(0, page(10, None));
+    let mut now_us = 0;
+    for failure in 0..20 {
+        sync.note(now_us, StoreOutcome::Failed);
+        let StoreStep::Pause { until_us } = sync.next(now_us) else { panic!("no pause") };
+        let pause_us = until_us - now_us;
+        let most_us = (policy.min_pause_us << failure.min(8)).min(policy.max_pause_us);
+        assert!(pause_us >= most_us / 2 && pause_us <= most_us, "{pause_us} at {failure}");
+        now_us = until_us;
+    }
+    assert!(matches!(sync.next(now_us), StoreStep::Watch { after_revision: 10, .. }));
+    sync.note(now_us, StoreOutcome::Watched { revision: 12, has_changes: false });
+    assert!(matches!(sync.next(now_us), StoreStep::Watch { after_revision: 12, .. }));
+}
+
+/// Forty replicas register one after the other: their changes share some calls.
+#[test]
+fn changes_share_calls() {
+    let mut sync = sync();
+    sync.note(0, page(10, None));
+    sync.note(0, StoreOutcome::Watched { revision: 11, has_changes: true });
+    let gather_us = StoreSyncPolicy::default().gather_us;
+    assert_eq!(sync.next(0), StoreStep::Pause { until_us: gather_us });
+    assert!(matches!(sync.next(gather_us), StoreStep::Watch { after_revision: 11, .. }));
+}
