--- a/crates/sassafrasproxy-cli/src/args.rs
+++ b/crates/sassafrasproxy-cli/src/args.rs
@@ -115,6 +115,14 @@
                 .default_value(DEFAULT_NODE),
         )
         .arg(text("request", "Only the events of a request id"))
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .num_args(1..)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Read the logs of gateways from files instead of asking nodes"),
+        )
         .arg(text("service", "Only the events that name a service"))
         .arg(text("failure-domain", "Only the events of nodes in a failure domain"))
         .arg(Arg::new("follow").long("follow").action(ArgAction::SetTrue).help("Go on until ended"))
--- a/crates/sassafrasproxy-cli/src/main.rs
+++ b/crates/sassafrasproxy-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod gateway;
 mod inspect;
 mod logging;
+mod logs;
 mod publishing;
 mod run;
 mod timeline;
--- a/crates/sassafrasproxy-cli/src/timeline.rs
+++ b/crates/sassafrasproxy-cli/src/timeline.rs
@@ -1,5 +1,6 @@
 //! `timeline`: the events of all nodes in one order.
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 use clap::ArgMatches;
@@ -12,6 +13,7 @@
 
 use crate::end::End;
 use crate::inspect::client;
+use crate::logs;
 
 /// The time between two readings while following.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
@@ -32,6 +34,12 @@
 
 /// Shows the events of all nodes that the named ones know.
 pub async fn timeline(matches: &ArgMatches) -> Result<End> {
+    let files: Vec<&PathBuf> = matches.get_many::<PathBuf>("logs").into_iter().flatten().collect();
+    if !files.is_empty() {
+        let request = matches.get_one::<String>("request").map(String::as_str);
+        let is_found = logs::print_story(&files, request)?;
+        return Ok(if is_found { End::Done } else { End::Refused });
+    }
     let client = client()?;
     let filter = Filter {
         request: matches.get_one::<String>("request").cloned(),
@@ -129,7 +137,7 @@
 }
 
 /// The time of day of a wall time, in UTC.
-fn clock(wall_ms: u64) -> String {
+pub fn clock(wall_ms: u64) -> String {
     let second = wall_ms / 1_000;
     let (hour, minute) = (second / 3_600 % 24, second / 60 % 60);
     format!("{hour:02}:{minute:02}:{:02}.{:03}", second % 60, wall_ms % 1_000)
--- /dev/null
+++ b/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
@@ -0,0 +1,39 @@
+//! The planned stop of a gateway.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway;
+
+use std::time::Duration;
+
+use http::Request;
+use http_body_util::Full;
+use nix::sys::signal::Signal;
+use sassafrasproxy_platform_standin::{Behavior, ask, ask_with};
+
+use crate::gateway::{HOST, System, fresh_id};
+
+/// A node is told to stop while it serves. It is not ready from then on, callers are told to
+/// move on, requests under way get their answers, and the process ends well by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_end() {
+    let mut system = System::start(1).await;
+    for id in ["da", "db"] {
+        system.replica(id).set(Behavior::Answering(300));
+    }
+    let address = system.gateways[0].callers();
+    let attempt = fresh_id();
+    let slow = ask(address, HOST, "/desk/7", &attempt, 2_000);
+    let told = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        system.gateways[0].signal(Signal::SIGTERM).unwrap();
+        system.gateways[0].wait_for_line("the node is leaving").unwrap();
+        let ready = Request::get("/ready").header("host", "h").body(Full::default()).unwrap();
+        assert_eq!(ask_with(system.gateways[0].ready(), ready).await.unwrap().status, 503);
+    };
+    let (answer, ()) = tokio::join!(slow, told);
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("connection"), "close");
+    assert!(system.gateways[0].wait().unwrap().success());
+}
--- /dev/null
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -0,0 +1,157 @@
+//! Gateways while the store misbehaves.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway;
+
+use std::time::{Duration, Instant};
+
+use http::Request;
+use http_body_util::Full;
+use sassafrasproxy_platform_standin::{StoreMode, ask_with};
+use serde_json::{Value, json};
+
+use crate::gateway::{HOST, PATIENCE, System, routes};
+
+/// The addresses that a gateway's directory names.
+async fn named(system: &System, gateway: usize) -> Vec<String> {
+    let request = Request::get("/resolve?name=shop.example&region=r&zone=west");
+    let request = request.header("host", "directory").body(Full::default()).unwrap();
+    let answer = ask_with(system.gateways[gateway].directory(), request).await.unwrap();
+    let body: Value = serde_json::from_slice(&answer.body).unwrap();
+    let addresses = body["addrs"].as_array().unwrap().iter();
+    addresses.map(|address| address.as_str().unwrap().to_owned()).collect()
+}
+
+fn with_route(name: &str) -> Value {
+    let mut routes = routes();
+    routes.as_array_mut().unwrap().push(json!({
+        "name": name, "host": HOST, "prefix": format!("/{name}/"), "route_type": "idempotent",
+        "timeout_ms": 1_000, "latency_goal_ms": 400, "priority": 1, "service": "desk",
+        "max_attempts": 2,
+    }));
+    routes
+}
+
+/// The store refuses, goes silent or forgets its history while callers ask. They are served all
+/// the while, and what changed meanwhile is in force soon after its return.
+#[tokio::test(flavor = "multi_thread")]
+async fn outages() {
+    let mut system = System::start(1).await;
+    for (at, mode) in [StoreMode::Refusing(503), StoreMode::Refusing(429), StoreMode::Silent]
+        .into_iter()
+        .enumerate()
+    {
+        system.store.set_mode(mode);
+        let name = format!("new{at}");
+        system.publish(with_route(&name));
+        system.store.forget();
+        for _ in 0..20 {
+            assert_eq!(system.ask(0, "/desk/7").await.status, 200, "{mode:?}");
+            assert_eq!(system.ask(0, "/all/7").await.status, 200, "{mode:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        system.store.set_mode(StoreMode::Up);
+        system.ask_until(0, &format!("/{name}/7"), |answer| answer.status == 200).await;
+    }
+}
+
+/// Items come in pages, and somebody else's items stand between ours.
+#[tokio::test(flavor = "multi_thread")]
+async fn small_pages() {
+    let mut system = System::start(0).await;
+    system.store.put("servers/forged", b"\xff\xfe");
+    system.store.put("servers/half", br#"{"service":"desk"}"#);
+    system.store.put("somebody/else", b"x");
+    system.store.set_page(3);
+    let at = system.add_gateway();
+    system.ask_until(at, "/all/7", |answer| answer.status == 200).await;
+    assert_eq!(system.ask(at, "/desk/7").await.status, 200);
+}
+
+/// The store turns a node away, from its start on. It learns configuration and replicas from its
+/// peers, and serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn learns_from_peers() {
+    let mut system = System::start(1).await;
+    system.store.set_mode(StoreMode::Refusing(503));
+    let at = system.add_gateway();
+    system.ask_until(at, "/all/7", |answer| answer.status == 200).await;
+    assert_eq!(system.ask(at, "/desk/7").await.status, 200);
+    system.gateways[at].wait_for_line("facts learned from a peer").unwrap();
+}
+
+/// The store loses its answers to writes: the registration is made again, and others see it.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers() {
+    let mut system = System::start(1).await;
+    system.store.set_mode(StoreMode::LosingAnswers);
+    let at = system.add_gateway();
+    system.store.set_mode(StoreMode::Up);
+    let address = system.gateways[at].callers().to_string();
+    let end = Instant::now() + PATIENCE;
+    while !named(&system, 0).await.contains(&address) {
+        assert!(Instant::now() < end, "never named");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The store takes a node's registration away while it lives. It is still named to callers, and
+/// registers again.
+#[tokio::test(flavor = "multi_thread")]
+async fn registration_revoked() {
+    let system = System::start(2).await;
+    let both = |named: Vec<String>| named.len() == 2;
+    let end = Instant::now() + PATIENCE;
+    while !both(named(&system, 0).await) {
+        assert!(Instant::now() < end, "the nodes never met");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for key in system.store.keys("sassafrasproxy/nodes/") {
+        system.store.remove(&key);
+    }
+    let end = Instant::now() + PATIENCE;
+    while system.store.keys("sassafrasproxy/nodes/").len() < 2 {
+        assert!(both(named(&system, 1).await), "a live node was dropped");
+        assert!(Instant::now() < end, "never registered again");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A replica leaves, by its word or without: it gets no new work.
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_leaves() {
+    let system = System::start(1).await;
+    system.replica("da").register(&system.store, "west", "draining");
+    let answered_by = |id: &'static str| {
+        move |answer: &sassafrasproxy_platform_standin::CallerAnswer| {
+            answer.header("x-server-stamp").starts_with(id)
+        }
+    };
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let before = system.replica("da").arrivals().len();
+    for _ in 0..20 {
+        assert!(answered_by("db")(&system.ask(0, "/desk/7").await));
+    }
+    assert_eq!(system.replica("da").arrivals().len(), before, "new work after it left");
+    system.replica("da").register(&system.store, "west", "ready");
+    system.store.remove("servers/db");
+    system.ask_until(0, "/desk/7", answered_by("da")).await;
+}
+
+/// Operators take a failure domain out and bring it back.
+#[tokio::test(flavor = "multi_thread")]
+async fn domain_out() {
+    let system = System::start(1).await;
+    system.store.put("op/evacuate/west", "{}");
+    system
+        .ask_until(0, "/desk/7", |answer| answer.header("x-server-stamp").starts_with("db"))
+        .await;
+    system.store.put("op/evacuate/east", "{}");
+    let answer = system.ask_until(0, "/desk/7", |answer| answer.status == 503).await;
+    assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    system.store.remove("op/evacuate/west");
+    system
+        .ask_until(0, "/desk/7", |answer| answer.header("x-server-stamp").starts_with("da"))
+        .await;
+}
--- /dev/null
+++ b/crates/sassafrasproxy-cli/tests/request_story.rs
@@ -0,0 +1,64 @@
+//! From a request's id to its cause, by the logs of the processes.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway;
+
+use std::process::Command;
+
+use sassafrasproxy_platform_standin::{Behavior, ask, ask_with};
+
+use crate::gateway::{HOST, System, binary};
+
+/// A caller complains about an answer that left a shard out. The engineer has its id and the
+/// logs of all processes: they name the shard, the replica and why.
+#[tokio::test(flavor = "multi_thread")]
+async fn left_out() {
+    let system = System::start(2).await;
+    for id in ["s2a", "s2b"] {
+        system.replica(id).set(Behavior::Failing);
+    }
+    let answer = ask(system.gateways[1].callers(), HOST, "/all/7", "complaint", 2_000).await;
+    assert_eq!(answer.unwrap().header("x-missing-parts"), "1");
+    system.gateways[1].wait_for_line("shards are left out").unwrap();
+    let dir = tempfile::TempDir::new().unwrap();
+    let files = system.gateways.iter().enumerate().map(|(at, gateway)| {
+        let file = dir.path().join(format!("vm-{at}.log"));
+        let lines: Vec<String> = gateway.lines().iter().map(ToString::to_string).collect();
+        std::fs::write(&file, lines.join("\n")).unwrap();
+        file
+    });
+    let files: Vec<_> = files.collect();
+    let output = Command::new(binary())
+        .args(["timeline", "--request", "complaint", "--logs"])
+        .args(&files)
+        .output()
+        .unwrap();
+    let story = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{story}");
+    assert!(story.contains("shard-2: AllTried after s2"), "{story}");
+    assert!(story.contains("a configuration is in force"), "{story}");
+    assert!(!story.contains("a replica is listed           id=s0a"), "{story}");
+}
+
+/// The metrics say how requests ended, and why.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics() {
+    let system = System::start(1).await;
+    system.ask(0, "/all/7").await;
+    system.ask(0, "/nowhere/").await;
+    let request = http::Request::get("/metrics").header("host", "h");
+    let request = request.body(http_body_util::Full::default()).unwrap();
+    let answer = ask_with(system.gateways[0].metrics(), request).await.unwrap();
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    for expected in [
+        "sassafrasproxy_answers_total{route=\"r-all\",status=\"200\"} 1",
+        "sassafrasproxy_refusals_total{kind=\"no_route\"} 1",
+        "sassafrasproxy_sends_total{kind=\"first\"}",
+        "sassafrasproxy_latency_seconds_count{route=\"r-all\"} 1",
+        "sassafrasproxy_configuration_version 3",
+        "sassafrasproxy_open_replicas 10",
+    ] {
+        assert!(text.contains(expected), "no `{expected}` in {text}");
+    }
+}
--- a/crates/sassafrasproxy-core/src/forward/fetch.rs
+++ b/crates/sassafrasproxy-core/src/forward/fetch.rs
@@ -118,6 +118,11 @@
         &self.service
     }
 
+    /// The replica that was asked last; empty if none was.
+    pub fn last(&self) -> &str {
+        self.tried.last().map_or("", EcoString::as_str)
+    }
+
     /// Whether a replica may have run the request, or may be running it.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run || self.in_flight > 0
--- a/crates/sassafrasproxy-gateway/src/answer.rs
+++ b/crates/sassafrasproxy-gateway/src/answer.rs
@@ -7,6 +7,7 @@
 use sassafrasproxy_platform::{PartSummary, is_forwarded, write_part_summary, write_retry_after};
 use serde_json::json;
 
+use crate::metrics::{GatewayMetrics, OfKind};
 use crate::upstream::UpstreamAnswer;
 
 /// An answer, ready to be sent.
@@ -58,10 +59,13 @@
 }
 
 /// An answer of this node's own, with the time to come back where that helps.
-pub fn refuse(refusal: Refusal, retry_after_ms: Option<u64>) -> Answer {
+pub fn refuse(metrics: &GatewayMetrics, refusal: Refusal, retry_after_ms: Option<u64>) -> Answer {
+    metrics.refusals.get_or_create(&OfKind::new(refusal.reason())).inc();
     let body = json!({ "reason": refusal.reason(), "retry_after_ms": retry_after_ms });
     let mut answer = Response::new(Full::from(body.to_string()));
     *answer.status_mut() = refusal.status();
+    // For the log line of the request.
+    answer.extensions_mut().insert(refusal);
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(retry_after_ms) = retry_after_ms {
         write_retry_after(answer.headers_mut(), retry_after_ms);
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::follow::follow_store;
+use crate::metrics::{GatewayMetrics, OfKind};
 use crate::peer_facts::{pull_facts, serve_facts};
 use crate::register::keep_registered;
 use crate::view::GatewayView;
@@ -43,6 +44,8 @@
     pub heartbeats: std::net::UdpSocket,
     /// The socket where peers ask for facts.
     pub facts: std::net::TcpListener,
+    /// Where calls to the store are counted.
+    pub metrics: Arc<GatewayMetrics>,
     /// Where the view goes.
     pub view: watch::Sender<GatewayView>,
     /// Turns true when the process begins to leave.
@@ -56,6 +59,9 @@
     pub discovery: RefCell<Discovery>,
     settings: watch::Sender<Arc<GatewaySettings>>,
     view: watch::Sender<GatewayView>,
+    metrics: Arc<GatewayMetrics>,
+    /// When the store last answered, in microseconds.
+    heard_store_us: Cell<u64>,
     /// How far this node follows the store.
     store_revision: Cell<u64>,
     /// Whether the last read of the store failed.
@@ -65,7 +71,7 @@
 /// Runs the control thread for as long as the process runs.
 pub fn run(start: ControlStart) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let ControlStart { clock, settings, me, view, .. } = start;
+    let ControlStart { clock, settings, me, metrics, view, .. } = start;
     let seeds: Vec<_> =
         settings.borrow().seeds.iter().map(|seed| ecow::eco_format!("{seed}")).collect();
     let gossip = Gossip::new(&me, seeds, GossipPolicy::default(), rand::random(), clock.now_us());
@@ -75,6 +81,8 @@
         discovery: RefCell::default(),
         settings,
         view,
+        metrics,
+        heard_store_us: Cell::new(clock.now_us()),
         store_revision: Cell::new(0),
         is_store_away: Cell::new(false),
     });
@@ -155,6 +163,17 @@
         });
     }
 
+    /// Counts a call to the store.
+    pub fn count_call(&self, call: &'static str, error: Option<&StoreError>) {
+        self.metrics.store_calls.get_or_create(&OfKind::new(call)).inc();
+        match error {
+            None => self.heard_store_us.set(self.clock.now_us()),
+            Some(_) => {
+                self.metrics.store_failures.get_or_create(&OfKind::new(call)).inc();
+            }
+        }
+    }
+
     /// Notes how a read went, and tells discovery when the store goes or comes back.
     pub fn note_call(&self, error: Option<&StoreError>) {
         let is_away = !matches!(error, None | Some(StoreError::HistoryGone));
@@ -178,6 +197,8 @@
 async fn tick(state: Rc<ControlState>) {
     loop {
         sleep(TICK).await;
+        let age_us = state.clock.now_us() - state.heard_store_us.get();
+        state.metrics.store_age.set((age_us / 1_000_000) as i64);
         if state.discovery.borrow().next_due_us().is_some() {
             state.discover([DiscoveryEvent::Tick]);
         }
--- a/crates/sassafrasproxy-gateway/src/directory.rs
+++ b/crates/sassafrasproxy-gateway/src/directory.rs
@@ -34,6 +34,22 @@
     Ok(answer)
 }
 
+/// Gives the metrics as text.
+pub async fn serve_metrics(
+    traffic: Rc<Traffic>,
+    _request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let mut answer = Response::new(Full::default());
+    match traffic.metrics.text() {
+        Ok(text) => *answer.body_mut() = Full::from(text),
+        Err(error) => {
+            log::error!(error:%; "the metrics cannot be written");
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
+    }
+    Ok(answer)
+}
+
 /// Tells whether callers should be sent here.
 pub async fn serve_ready(
     traffic: Rc<Traffic>,
--- a/crates/sassafrasproxy-gateway/src/follow.rs
+++ b/crates/sassafrasproxy-gateway/src/follow.rs
@@ -27,17 +27,24 @@
     let mut sync = StoreSync::new(StoreSyncPolicy::default(), rand::random());
     loop {
         let now_us = state.clock.now_us();
-        let outcome = match sync.next(now_us) {
+        let (call, outcome) = match sync.next(now_us) {
             StoreStep::Pause { until_us } => {
                 sleep(Duration::from_micros(until_us.saturating_sub(now_us))).await;
                 continue;
             }
-            StoreStep::List { after_key } => list(&state, &mut client, after_key.as_deref()).await,
-            StoreStep::Watch { after_revision, wait_ms } => tokio::select! {
-                outcome = wait_for_changes(&state, &mut client, after_revision, wait_ms) => outcome,
-                error = fall_behind(&state) => Err(error),
-            },
+            StoreStep::List { after_key } => {
+                ("list", list(&state, &mut client, after_key.as_deref()).await)
+            }
+            StoreStep::Watch { after_revision, wait_ms } => {
+                let watch = wait_for_changes(&state, &mut client, after_revision, wait_ms);
+                let outcome = tokio::select! {
+                    outcome = watch => outcome,
+                    error = fall_behind(&state) => Err(error),
+                };
+                ("watch", outcome)
+            }
         };
+        state.count_call(call, outcome.as_ref().err());
         state.note_call(outcome.as_ref().err());
         let outcome = outcome.unwrap_or_else(|error| {
             log::info!(error:%; "a read of the store failed");
--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -12,6 +12,7 @@
 use sassafrasproxy_wire::RouteTarget;
 
 use crate::answer::{Answer, Refusal, refuse};
+use crate::metrics::{Answered, OfRoute};
 use crate::request::CallerRequest;
 use crate::traffic::Traffic;
 use crate::{gather, single};
@@ -30,7 +31,7 @@
         Err(refusal) => {
             let retry_after_ms =
                 (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
-            refuse(refusal, retry_after_ms)
+            refuse(&traffic.metrics, refusal, retry_after_ms)
         }
     };
     if traffic.is_leaving.get() {
@@ -87,8 +88,14 @@
         RouteTarget::Gather(target) => gather::serve(traffic, request, &route, target).await,
     };
     let took_ms = (traffic.clock.now_us() - arrived_us) / 1_000;
+    let by_route = Answered { route: route.name.to_string(), status: answer.status().as_u16() };
+    traffic.metrics.answers.get_or_create(&by_route).inc();
+    let took_s = (traffic.clock.now_us() - arrived_us) as f64 / 1e6;
+    let of_route = OfRoute { route: by_route.route };
+    traffic.metrics.latency.get_or_create(&of_route).observe(took_s);
     let (route, status, version) = (&route.name, answer.status().as_u16(), catalogue.version);
-    log::info!(request:% = attempt_id, route:%, status, took_ms, version; "answered");
+    let reason = answer.extensions().get::<Refusal>().map_or("", |refusal| refusal.reason());
+    log::info!(request:% = attempt_id, route:%, status, took_ms, version, reason; "answered");
     Ok(answer)
 }
 
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::answer::Answer;
 use crate::control::{self, ControlStart};
 use crate::listener::{self, ConnectionLimits};
+use crate::metrics::GatewayMetrics;
 use crate::traffic::Traffic;
 use crate::view::GatewayView;
 use crate::{directory, front};
@@ -92,6 +93,7 @@
     pub fn run(self) -> Result<(), GatewayError> {
         let clock = Clock::start();
         let me = self.me()?;
+        let metrics_values = Arc::new(GatewayMetrics::new());
         let (view_sender, views) = watch::channel(GatewayView::default());
         let (leave, leaving) = watch::channel(false);
         let (settings, settings_changes) = watch::channel(self.settings.clone());
@@ -103,6 +105,7 @@
             me,
             heartbeats,
             facts,
+            metrics: metrics_values.clone(),
             view: view_sender,
             leaving,
         };
@@ -113,7 +116,7 @@
         })?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, async {
-            let traffic = Rc::new(Traffic::new(clock, self.settings));
+            let traffic = Rc::new(Traffic::new(clock, self.settings, metrics_values));
             spawn_local(traffic.clone().follow(views));
             spawn_local(traffic.clone().follow_settings(settings_changes));
             let (stop, stopping) = watch::channel(false);
@@ -122,7 +125,7 @@
             serving.spawn(ready, small_limits, directory::serve_ready)?;
             serving.spawn(directory, small_limits, directory::serve_directory)?;
             if let Some(metrics) = metrics {
-                serving.spawn(metrics, small_limits, directory::serve_ready)?;
+                serving.spawn(metrics, small_limits, directory::serve_metrics)?;
             }
             wait_for_signal().await?;
             log::info!("the node is leaving");
@@ -139,8 +142,13 @@
         let directory = self.sockets.directory.local_addr()?;
         let ready = self.sockets.ready.local_addr()?;
         let peers = self.sockets.facts.local_addr()?;
+        let metrics = self.sockets.metrics.as_ref();
+        let metrics = metrics.and_then(|listener| listener.local_addr().ok());
+        let metrics = metrics.map_or_else(String::new, |address| address.to_string());
         let (node, domain) = (&self.settings.name, &self.settings.failure_domain);
-        log::info!(node:%, domain:%, callers:%, directory:%, ready:%, peers:%; "the node starts");
+        log::info!(
+            node:%, domain:%, callers:%, directory:%, ready:%, peers:%, metrics:%; "the node starts"
+        );
         Ok(MemberUpdate {
             node: self.settings.name.clone(),
             peer_address: eco_format!("{peers}"),
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ecow::EcoString;
+use ecow::{EcoString, eco_format};
 use sassafrasproxy_core::{
-    Fetch, FetchPlan, FetchStep, GatherPlan, GatherStep, merge_records, next_gather_step,
+    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, merge_records, next_gather_step,
 };
 use sassafrasproxy_platform::PartSummary;
 use sassafrasproxy_wire::{GatherTarget, Route};
@@ -44,7 +44,7 @@
 enum ShardState {
     Pending,
     In(Part),
-    Missing,
+    Missing(FetchEnd),
 }
 
 /// A query under way.
@@ -151,14 +151,13 @@
             };
             match step {
                 FetchStep::Send { replica, send, cause } => {
+                    self.traffic.count_send(cause);
                     log::debug!(request:% = self.request.attempt_id, replica:%, cause:?; "a send starts");
                     self.send(at, &replica, send);
                 }
                 FetchStep::Wait { until_us } => return until_us.unwrap_or(u64::MAX),
                 FetchStep::Failed(failure) => {
-                    let (request, service) = (&self.request.attempt_id, shard.fetch.service());
-                    log::debug!(request:%, service:%, failure:?; "a shard is given up");
-                    shard.state = ShardState::Missing;
+                    shard.state = ShardState::Missing(failure.end);
                 }
             }
         }
@@ -199,8 +198,31 @@
         }
     }
 
+    /// Logs which shards are left out and why; one line for each answer that leaves some out.
+    fn note_missing(&self) {
+        let reasons: Vec<EcoString> = self
+            .shards
+            .iter()
+            .filter_map(|shard| match &shard.state {
+                ShardState::In(_) => None,
+                ShardState::Pending => {
+                    Some(eco_format!("{}: late at {}", shard.fetch.service(), shard.fetch.last()))
+                }
+                ShardState::Missing(end) => {
+                    let (service, last) = (shard.fetch.service(), shard.fetch.last());
+                    Some(eco_format!("{service}: {end:?} after {last}"))
+                }
+            })
+            .collect();
+        if !reasons.is_empty() {
+            let request = &self.request.attempt_id;
+            log::info!(request:%, shards = reasons.join(", ").as_str(); "shards are left out");
+        }
+    }
+
     fn answer(mut self, top_k: usize) -> Answer {
         self.sends.detach();
+        self.note_missing();
         let mut summary = PartSummary::default();
         let mut bodies: Vec<&[u8]> = Vec::with_capacity(self.shards.len());
         for shard in &self.shards {
@@ -209,21 +231,23 @@
                     summary.stamps.push(part.stamp.clone());
                     bodies.push(&part.records);
                 }
-                ShardState::Pending | ShardState::Missing => summary.missing_count += 1,
+                ShardState::Pending | ShardState::Missing(_) => summary.missing_count += 1,
             }
         }
+        self.traffic.metrics.missing_parts.inc_by(summary.missing_count as u64);
         merged(merge_records(bodies, top_k), &summary)
     }
 
     fn give_up(mut self, now_us: u64) -> Answer {
         self.sends.detach();
+        self.note_missing();
         let has_run = self.shards.iter().any(|shard| shard.fetch.may_have_run());
         let refusal = match (has_run, now_us >= self.plan.end_us) {
             (false, _) => Refusal::NotRun,
             (true, true) => Refusal::TimedOut,
             (true, false) => Refusal::Lost,
         };
-        refuse(refusal, Some(RETRY_AFTER_MS))
+        refuse(&self.traffic.metrics, refusal, Some(RETRY_AFTER_MS))
     }
 }
 
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod gather;
 mod http_client;
 mod listener;
+mod metrics;
 mod peer_facts;
 mod peers;
 mod register;
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/metrics.rs
@@ -0,0 +1,137 @@
+//! Counters and histograms, read as text from the metrics address.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// The upper bounds of the latency buckets, in seconds: they frame the users' goals of 40 to
+/// 400 ms and deadlines of 250 to 2,000 ms.
+const LATENCY_BOUNDS_S: [f64; 11] = [0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.25, 0.4, 1.0, 2.0];
+
+/// One value of one label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct Answered {
+    /// The route's name.
+    pub route: String,
+    /// The status.
+    pub status: u16,
+}
+
+/// A route.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct OfRoute {
+    /// The route's name.
+    pub route: String,
+}
+
+/// A reason or kind, from a fixed set.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct OfKind {
+    /// The reason or kind.
+    pub kind: &'static str,
+}
+
+/// All metrics of a process; docs/OPERATIONS.md lists them with their units.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Answers by route and status.
+    pub answers: Family<Answered, Counter>,
+    /// Seconds from a request's arrival to its answer, by route.
+    pub latency: Family<OfRoute, Histogram>,
+    /// Requests that this node refused or gave up on, by reason.
+    pub refusals: Family<OfKind, Counter>,
+    /// Sends to replicas, by cause.
+    pub sends: Family<OfKind, Counter>,
+    /// Ends of sends, by outcome.
+    pub send_ends: Family<OfKind, Counter>,
+    /// Shards that merged answers left out.
+    pub missing_parts: Counter,
+    /// Calls to the store, by call.
+    pub store_calls: Family<OfKind, Counter>,
+    /// Calls to the store that failed, by call.
+    pub store_failures: Family<OfKind, Counter>,
+    /// The version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Seconds since the store was last heard.
+    pub store_age: Gauge,
+    /// Replicas that may get new work.
+    pub open_replicas: Gauge,
+    /// Members that are not dead.
+    pub members: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Metrics that are all zero.
+    pub fn new() -> Self {
+        let histogram = || Histogram::new(LATENCY_BOUNDS_S);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("sassafrasproxy"),
+            answers: Family::default(),
+            latency: Family::new_with_constructor(histogram as fn() -> Histogram),
+            refusals: Family::default(),
+            sends: Family::default(),
+            send_ends: Family::default(),
+            missing_parts: Counter::default(),
+            store_calls: Family::default(),
+            store_failures: Family::default(),
+            configuration_version: Gauge::default(),
+            store_age: Gauge::default(),
+            open_replicas: Gauge::default(),
+            members: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Answers to callers", self.answers.clone());
+        registry.register_with_unit(
+            "latency",
+            "From a request's arrival to its answer",
+            Unit::Seconds,
+            self.latency.clone(),
+        );
+        registry.register("refusals", "Requests not served", self.refusals.clone());
+        registry.register("sends", "Sends to replicas by cause", self.sends.clone());
+        registry.register("send_ends", "Ends of sends by outcome", self.send_ends.clone());
+        registry.register("missing_parts", "Shards left out", self.missing_parts.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("store_failures", "Failed calls", self.store_failures.clone());
+        registry.register(
+            "configuration_version",
+            "The version in force",
+            self.configuration_version.clone(),
+        );
+        registry.register_with_unit(
+            "store_age",
+            "Since the store was last heard",
+            Unit::Seconds,
+            self.store_age.clone(),
+        );
+        registry.register("open_replicas", "Replicas for new work", self.open_replicas.clone());
+        registry.register("members", "Nodes that are not dead", self.members.clone());
+    }
+}
+
+impl OfKind {
+    /// One kind.
+    pub fn new(kind: &'static str) -> Self {
+        Self { kind }
+    }
+}
--- a/crates/sassafrasproxy-gateway/src/register.rs
+++ b/crates/sassafrasproxy-gateway/src/register.rs
@@ -28,10 +28,11 @@
     let mut lease = None;
     loop {
         let is_there = state.discovery.borrow().is_registered(&me.node);
-        let result = match lease.filter(|_| is_there) {
-            Some(lease) => renew(&mut client, lease).await,
-            None => register(&mut client, &me).await.map(|id| lease = Some(id)),
+        let (call, result) = match lease.filter(|_| is_there) {
+            Some(lease) => ("renew", renew(&mut client, lease).await),
+            None => ("register", register(&mut client, &me).await.map(|id| lease = Some(id))),
         };
+        state.count_call(call, result.as_ref().err());
         let pause = match result {
             Ok(()) => RENEW_INTERVAL,
             Err(error) => {
--- a/crates/sassafrasproxy-gateway/src/single.rs
+++ b/crates/sassafrasproxy-gateway/src/single.rs
@@ -37,7 +37,7 @@
         let now_us = traffic.clock.now_us();
         if now_us >= end_us {
             sends.detach();
-            return time_out(&fetch, failure_answer);
+            return time_out(traffic, &fetch, failure_answer);
         }
         let step = {
             let (mut pool, mut budget) = (traffic.pool.borrow_mut(), traffic.budget.borrow_mut());
@@ -45,6 +45,7 @@
         };
         let until_us = match step {
             FetchStep::Send { replica, send, cause } => {
+                traffic.count_send(cause);
                 log::debug!(request:% = request.attempt_id, replica:%, cause:?; "a send starts");
                 let entry = traffic.pool.borrow().entry(&replica).cloned();
                 let Some(replica) = entry else { continue };
@@ -60,7 +61,7 @@
                 continue;
             }
             FetchStep::Wait { until_us } => until_us.unwrap_or(end_us).min(end_us),
-            FetchStep::Failed(failure) => return fail(failure, failure_answer),
+            FetchStep::Failed(failure) => return fail(traffic, failure, failure_answer),
         };
         let wait = Duration::from_micros(until_us.saturating_sub(now_us));
         let Ok(Some((_, end))) = timeout(wait, ended.recv()).await else { continue };
@@ -76,19 +77,23 @@
 }
 
 /// The final answer at the end of the caller's or the route's time.
-fn time_out(fetch: &Fetch, failure_answer: Option<UpstreamAnswer>) -> Answer {
+fn time_out(traffic: &Traffic, fetch: &Fetch, failure_answer: Option<UpstreamAnswer>) -> Answer {
     if let Some(answer) = failure_answer {
         return pass_on(answer);
     }
     let refusal = if fetch.may_have_run() { Refusal::TimedOut } else { Refusal::NotRun };
-    refuse(refusal, None)
+    refuse(&traffic.metrics, refusal, None)
 }
 
 /// The final answer when nothing more can be done: a replica's own failure before this node's.
-fn fail(failure: FetchFailure, failure_answer: Option<UpstreamAnswer>) -> Answer {
+fn fail(
+    traffic: &Traffic,
+    failure: FetchFailure,
+    failure_answer: Option<UpstreamAnswer>,
+) -> Answer {
     if let Some(answer) = failure_answer {
         return pass_on(answer);
     }
     let refusal = if failure.may_have_run { Refusal::Lost } else { Refusal::NotRun };
-    refuse(refusal, Some(RETRY_AFTER_MS))
+    refuse(&traffic.metrics, refusal, Some(RETRY_AFTER_MS))
 }
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -11,13 +11,14 @@
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
     CallerDelays, Catalogue, Fanout, FetchPlan, PoolSettings, RetryBudget, RetryBudgetPolicy,
-    RouteTimes, SplitChooser, US_PER_MS, UpstreamPool,
+    RouteTimes, SendCause, SplitChooser, US_PER_MS, UpstreamPool,
 };
 use sassafrasproxy_wire::{Route, RouteTarget, WeightedService};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use crate::connections::{Connections, connect};
+use crate::metrics::{GatewayMetrics, OfKind};
 use crate::view::GatewayView;
 
 /// How many nodes are counted on before any is known, for each node's share of what all share.
@@ -34,6 +35,7 @@
     pub pool: RefCell<UpstreamPool>,
     pub budget: RefCell<RetryBudget>,
     pub connections: RefCell<Connections>,
+    pub metrics: Arc<GatewayMetrics>,
     pub delays: RefCell<CallerDelays>,
     times: RefCell<IndexMap<EcoString, RouteTimes>>,
     splits: RefCell<IndexMap<EcoString, SplitChooser>>,
@@ -52,7 +54,7 @@
 
 impl Traffic {
     /// The state before any view.
-    pub fn new(clock: Clock, settings: Arc<GatewaySettings>) -> Self {
+    pub fn new(clock: Clock, settings: Arc<GatewaySettings>, metrics: Arc<GatewayMetrics>) -> Self {
         Self {
             clock,
             view: RefCell::default(),
@@ -60,6 +62,7 @@
             budget: RefCell::new(RetryBudget::new(budget_policy(&settings), clock.now_us())),
             settings: RefCell::new(settings),
             connections: RefCell::default(),
+            metrics,
             delays: RefCell::default(),
             times: RefCell::default(),
             splits: RefCell::default(),
@@ -122,6 +125,16 @@
         }
     }
 
+    /// Counts a send to a replica.
+    pub fn count_send(&self, cause: SendCause) {
+        let kind = match cause {
+            SendCause::First => "first",
+            SendCause::Hedge => "hedge",
+            SendCause::Retry => "retry",
+        };
+        self.metrics.sends.get_or_create(&OfKind::new(kind)).inc();
+    }
+
     /// Notes how long an answer of a route took.
     pub fn note_latency(&self, route: &EcoString, took_us: u64) {
         let mut times = self.times.borrow_mut();
@@ -139,6 +152,10 @@
         let catalogue = view.catalogue.clone();
         self.node_count.set(self.node_count.get().max(view.nodes.len()).max(view.registered));
         self.pool.borrow_mut().update(now_us, &catalogue, self.node_count.get());
+        self.metrics.configuration_version.set(catalogue.version as i64);
+        self.metrics.members.set(view.nodes.len() as i64);
+        let open = catalogue.replicas.values().filter(|replica| replica.is_open).count();
+        self.metrics.open_replicas.set(open as i64);
         self.connections.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.view.replace(view);
         for (id, replica) in &catalogue.replicas {
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::connections::{UpstreamSender, connect};
+use crate::metrics::OfKind;
 use crate::request::CallerRequest;
 use crate::traffic::Traffic;
 
@@ -185,6 +186,16 @@
 
 impl Drop for NotedSend {
     fn drop(&mut self) {
+        let kind = match self.outcome {
+            SendOutcome::Answered => "answered",
+            SendOutcome::Faulty => "faulty",
+            SendOutcome::Refused => "refused",
+            SendOutcome::Lost => "lost",
+            SendOutcome::Unreachable => "unreachable",
+            SendOutcome::Misdirected => "misdirected",
+            SendOutcome::Cancelled => "cancelled",
+        };
+        self.traffic.metrics.send_ends.get_or_create(&OfKind::new(kind)).inc();
         let now_us = self.traffic.clock.now_us();
         let mut pool = self.traffic.pool.borrow_mut();
         pool.finish(&self.replica, self.send, now_us, self.outcome, self.reported);
