--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -57,12 +57,25 @@
     pub is_reply: bool,
     /// The sender and its news; `revision` is its configuration's version.
     pub heartbeat: Heartbeat,
-    /// How far the sender follows the store, to tell who knows more.
-    pub store_revision: u64,
+    /// The newest revision of the store that the sender has heard of.
+    pub newest: Newest,
     /// Whether the store turns the sender away.
     pub is_store_away: bool,
 }
 
+/// The newest revision of the store that anybody was heard to follow to.
+///
+/// Passed on with each heartbeat, as a node of a large fleet hears from each other one only every
+/// quarter of a minute: a node whose watch went silent must know within seconds that there is more.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Newest {
+    /// The revision.
+    pub revision: u64,
+    /// The peer address of a node that follows the store so far.
+    pub peer_address: EcoString,
+}
+
 /// Where a node learns what stands in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Follow {
@@ -103,20 +116,17 @@
     seeds: IndexSet<EcoString>,
     /// Probes without an answer yet, by member: when the last was sent and how many failed.
     probes: IndexMap<EcoString, Probe>,
-    /// What each member said last of how it follows the store.
-    progress: IndexMap<EcoString, Progress>,
+    /// Whether the store turned each member away when it was last heard.
+    is_away: IndexMap<EcoString, bool>,
     version: u64,
-    own: Progress,
+    /// How far this node follows the store.
+    store_revision: u64,
+    is_store_away: bool,
+    /// Never below `store_revision`.
+    newest: Newest,
     notes: Vec<MemberNote>,
 }
 
-/// How a node follows the store.
-#[derive(Debug, Clone, Copy, Default)]
-struct Progress {
-    revision: u64,
-    is_away: bool,
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct Probe {
     is_waiting: bool,
@@ -138,9 +148,11 @@
             members: MemberTable::new(me, now_us),
             seeds: seeds.into_iter().collect(),
             probes: IndexMap::new(),
-            progress: IndexMap::new(),
+            is_away: IndexMap::new(),
             version: 0,
-            own: Progress::default(),
+            store_revision: 0,
+            is_store_away: false,
+            newest: Newest::default(),
             notes: Vec::new(),
         };
         gossip.seeds.swap_remove(&me.peer_address);
@@ -150,12 +162,20 @@
     /// Sets what this node says of its configuration and of how far it follows the store.
     pub fn set_progress(&mut self, version: u64, store_revision: u64) {
         self.version = version;
-        self.own.revision = self.own.revision.max(store_revision);
+        self.store_revision = self.store_revision.max(store_revision);
+        let peer_address = self.members.me().peer_address.clone();
+        self.hear_of(&Newest { revision: self.store_revision, peer_address });
     }
 
     /// Sets whether the store turns this node away.
     pub fn set_store_away(&mut self, is_away: bool) {
-        self.own.is_away = is_away;
+        self.is_store_away = is_away;
+    }
+
+    fn hear_of(&mut self, heard: &Newest) {
+        if heard.revision >= self.newest.revision {
+            self.newest = heard.clone();
+        }
     }
 
     /// Adds a peer address to try.
@@ -194,9 +214,10 @@
         }
         self.note(changes);
         self.members.note_heard(now_us, heartbeat);
-        let progress =
-            Progress { revision: datagram.store_revision, is_away: datagram.is_store_away };
-        self.progress.insert(from.node.clone(), progress);
+        self.is_away.insert(from.node.clone(), datagram.is_store_away);
+        if datagram.newest.revision > self.newest.revision {
+            self.hear_of(&datagram.newest);
+        }
         self.probes.shift_remove(&from.node);
         // A node that is thought dead or suspected learns so at once, and refutes it.
         let known = self.members.member(&from.node).map(Member::as_update);
@@ -238,12 +259,15 @@
         self.members.present().count()
     }
 
-    /// The peer that knows most of the store, if any knows more than this node.
+    /// A peer that follows the store further than this node, if any was heard of.
     pub fn best_informed(&self) -> Option<EcoString> {
-        let alive = self.members.peers().filter(|peer| peer.state == MemberState::Alive);
-        let known = alive.filter_map(|peer| Some((self.progress.get(&peer.node)?.revision, peer)));
-        let best = known.max_by_key(|(revision, _)| *revision)?;
-        (best.0 > self.own.revision).then(|| best.1.peer_address.clone())
+        (self.newest.revision > self.store_revision).then(|| self.newest.peer_address.clone())
+    }
+
+    /// Notes that the best informed peer could not be asked, so that another is heard of.
+    pub fn forget_best_informed(&mut self) {
+        let peer_address = self.members.me().peer_address.clone();
+        self.newest = Newest { revision: self.store_revision, peer_address };
     }
 
     /// Where to follow the store.
@@ -253,11 +277,11 @@
     /// turns away. A node that sees fewer watches itself, at the cost of some calls.
     pub fn follow(&self) -> Follow {
         let is_fit = |member: &&Member| {
-            let progress = match member.node == self.members.me().node {
-                true => Some(&self.own),
-                false => self.progress.get(&member.node),
+            let is_away = match member.node == self.members.me().node {
+                true => Some(&self.is_store_away),
+                false => self.is_away.get(&member.node),
             };
-            member.state == MemberState::Alive && progress.is_some_and(|one| !one.is_away)
+            member.state == MemberState::Alive && is_away == Some(&false)
         };
         let mut fit: Vec<&Member> = self.members.present().filter(is_fit).collect();
         fit.sort_by_key(|member| (member.name_hash, member.node.clone()));
@@ -314,8 +338,8 @@
             updates: self.members.take_news(self.policy.news, 1),
             hlc: Hlc::default(),
         };
-        let (store_revision, is_store_away) = (self.own.revision, self.own.is_away);
-        let datagram = PeerDatagram { is_reply, heartbeat, store_revision, is_store_away };
+        let (newest, is_store_away) = (self.newest.clone(), self.is_store_away);
+        let datagram = PeerDatagram { is_reply, heartbeat, newest, is_store_away };
         PeerSend { peer_address, datagram }
     }
 }
--- a/crates/sassafrasproxy-core/src/forward/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -24,7 +24,7 @@
 };
 pub use self::fetch::{Fetch, FetchEnd, FetchFailure, FetchPlan, FetchStep, SendCause, TryResult};
 pub use self::gather::{GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step};
-pub use self::gossip::{Follow, Gossip, GossipPolicy, MemberNote, PeerDatagram, PeerSend};
+pub use self::gossip::{Follow, Gossip, GossipPolicy, MemberNote, Newest, PeerDatagram, PeerSend};
 pub use self::pool::{PoolSettings, SendId, SendOutcome, UpstreamPool};
 pub use self::retry_budget::{RetryBudget, RetryBudgetPolicy};
 pub use self::route_times::{Fanout, RouteTimes, SendTimes};
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -164,3 +164,16 @@
     let after = fleet.watchers();
     assert_eq!(after.iter().filter(|at| !before[..4].contains(at)).count(), 8, "{after:?}");
 }
+
+/// A watch goes silent at one of sixty nodes while others learn that a replica leaves. It must
+/// hear within two seconds that there is more to know: three or five seconds later the replica
+/// may get nothing new. Each node hears directly from a few others a second only.
+#[test]
+fn news_of_news() {
+    let mut fleet = Fleet::new(60);
+    fleet.run(40);
+    fleet.nodes[7].set_progress(5, 100);
+    fleet.run(2);
+    let informed = fleet.nodes.iter().filter(|node| node.best_informed().is_some()).count();
+    assert_eq!(informed, 59);
+}
--- a/crates/sassafrasproxy-gateway/src/peer_facts.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_facts.rs
@@ -97,7 +97,10 @@
                 log::info!(peer:%, revision = facts.revision; "facts learned from a peer");
                 learn(&state, facts);
             }
-            Err(error) => log::info!(peer:%, error:%; "a peer did not tell its facts"),
+            Err(error) => {
+                log::info!(peer:%, error:%; "a peer did not tell its facts");
+                state.gossip.borrow_mut().forget_best_informed();
+            }
         }
     }
 }
