Ask replicas in other failure domains through relays that merge before they answer

Ruled out: sending callers elsewhere (each shard's two replicas are in two domains, whichever domain a caller is sent to).

--- a/crates/sassafrasproxy-cli/tests/gateway/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -29,7 +29,7 @@
 }
 
 impl System {
-    /// Starts a number of gateways over some shards and one service.
+    /// Starts a number of gateways, in failure domains by turns, over some shards and one service.
     pub async fn start(gateways: usize) -> Self {
         let store = StoreStandIn::start();
         let mut replicas = Vec::new();
@@ -64,7 +64,8 @@
         let seeds: Vec<_> = self.gateways.iter().map(GatewayProcess::peers).collect();
         let name = format!("vm-{number}");
         let store = self.store.address();
-        let gateway = GatewayProcess::start(binary(), &name, "west", store, &seeds).unwrap();
+        let domain = ["west", "east"][number % 2];
+        let gateway = GatewayProcess::start(binary(), &name, domain, store, &seeds).unwrap();
         self.gateways.push(gateway);
         number
     }
--- a/crates/sassafrasproxy-config/src/gateway.rs
+++ b/crates/sassafrasproxy-config/src/gateway.rs
@@ -31,6 +31,8 @@
     pub directory_listen: SocketAddr,
     /// Where peers send heartbeats, over UDP, and read facts, over TCP.
     pub peer_listen: SocketAddr,
+    /// Where peers send requests for replicas near this node, over TCP.
+    pub relay_listen: SocketAddr,
     /// Where metrics are read, if anywhere.
     pub metrics_listen: Option<SocketAddr>,
     /// The address of the platform's store.
@@ -84,6 +86,7 @@
     ready_listen: Spanned<EcoString>,
     directory_listen: Spanned<EcoString>,
     peer_listen: Spanned<EcoString>,
+    relay_listen: Spanned<EcoString>,
     metrics_listen: Option<Spanned<EcoString>>,
     store: Spanned<EcoString>,
     #[serde(default)]
@@ -119,6 +122,7 @@
             ready_listen: socket("ready_listen", &raw.ready_listen)?,
             directory_listen: socket("directory_listen", &raw.directory_listen)?,
             peer_listen: socket("peer_listen", &raw.peer_listen)?,
+            relay_listen: socket("relay_listen", &raw.relay_listen)?,
             metrics_listen: metrics.map(|at| socket("metrics_listen", at)).transpose()?,
             store: socket("store", &raw.store)?,
             seeds: seeds?,
--- a/crates/sassafrasproxy-core/src/control/members.rs
+++ b/crates/sassafrasproxy-core/src/control/members.rs
@@ -24,6 +24,8 @@
     pub address: EcoString,
     /// Where it is.
     pub failure_domain: EcoString,
+    /// The address where it relays requests; empty where it does not.
+    pub relay_address: EcoString,
     /// How much of a core it has, in thousandths; 0 where it does not say.
     pub cpu_millis: u32,
     /// Its state in this node's view.
@@ -61,6 +63,7 @@
             peer_address: self.peer_address.clone(),
             address: self.address.clone(),
             failure_domain: self.failure_domain.clone(),
+            relay_address: self.relay_address.clone(),
             cpu_millis: self.cpu_millis,
             state: self.state,
             incarnation: self.incarnation,
@@ -73,6 +76,7 @@
             peer_address: update.peer_address.clone(),
             address: update.address.clone(),
             failure_domain: update.failure_domain.clone(),
+            relay_address: update.relay_address.clone(),
             cpu_millis: update.cpu_millis,
             state: update.state,
             incarnation: update.incarnation,
--- a/crates/sassafrasproxy-core/src/forward/directory.rs
+++ b/crates/sassafrasproxy-core/src/forward/directory.rs
@@ -19,6 +19,8 @@
     pub address: EcoString,
     /// Where it is.
     pub failure_domain: EcoString,
+    /// The address where it relays requests to replicas near it; empty where it does not.
+    pub relay_address: EcoString,
     /// How much of a core it has, in thousandths.
     pub cpu_millis: u32,
     /// Its state.
--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -248,6 +248,7 @@
         let node = |member: &Member| DirectoryNode {
             address: member.address.clone(),
             failure_domain: member.failure_domain.clone(),
+            relay_address: member.relay_address.clone(),
             cpu_millis: member.cpu_millis,
             state: member.state,
         };
--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -183,6 +183,12 @@
         }
     }
 
+    /// Takes a new catalogue in whose replicas each take a number of sends from this node.
+    pub fn update_unlimited(&mut self, now_us: u64, catalogue: &Catalogue, in_flight: usize) {
+        self.update(now_us, catalogue, 1);
+        self.replicas.values_mut().for_each(|state| state.max_in_flight = in_flight);
+    }
+
     /// The entry of a replica.
     pub fn entry(&self, id: &str) -> Option<&Arc<ReplicaEntry>> {
         self.replicas.get(id).map(|state| &state.entry)
--- a/crates/sassafrasproxy-core/tests/cluster/mod.rs
+++ b/crates/sassafrasproxy-core/tests/cluster/mod.rs
@@ -78,6 +78,7 @@
             peer_address: address(number),
             address: eco_format!("10.1.{}.{}:7001", number / 250, number % 250),
             failure_domain: eco_format!("domain-{}", number % domains),
+            relay_address: EcoString::new(),
             cpu_millis: 0,
             state: MemberState::Alive,
             incarnation: 1_000 + self.now_us / MS,
--- a/crates/sassafrasproxy-core/tests/directories.rs
+++ b/crates/sassafrasproxy-core/tests/directories.rs
@@ -5,7 +5,13 @@
 use sassafrasproxy_wire::MemberState;
 
 fn node(address: &str, domain: &str, state: MemberState) -> DirectoryNode {
-    DirectoryNode { address: address.into(), failure_domain: domain.into(), cpu_millis: 250, state }
+    DirectoryNode {
+        address: address.into(),
+        failure_domain: domain.into(),
+        relay_address: Default::default(),
+        cpu_millis: 250,
+        state,
+    }
 }
 
 fn addresses(nodes: &[DirectoryNode], counts: &[(&str, usize)], caller: &str) -> Vec<String> {
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -27,6 +27,7 @@
                 peer_address: eco_format!("{at}"),
                 address: eco_format!("front-{at}"),
                 failure_domain: eco_format!("domain-{}", at % 4),
+                relay_address: Default::default(),
                 cpu_millis: 0,
                 state: MemberState::Alive,
                 incarnation: 1,
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -26,7 +26,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::traffic::Traffic;
 use crate::view::GatewayView;
-use crate::{directory, front};
+use crate::{directory, front, relay_server};
 
 /// The largest head of a question to the directory or the readiness check, in bytes.
 const SMALL_HEAD_BYTES: usize = 8_192;
@@ -78,6 +78,7 @@
     ready: std::net::TcpListener,
     directory: std::net::TcpListener,
     metrics: Option<std::net::TcpListener>,
+    relay: std::net::TcpListener,
     facts: std::net::TcpListener,
     heartbeats: UdpSocket,
 }
@@ -98,7 +99,7 @@
         let (view_sender, views) = watch::channel(GatewayView::default());
         let (leave, leaving) = watch::channel(false);
         let (settings, settings_changes) = watch::channel(self.settings.clone());
-        let Sockets { callers, ready, directory, metrics, facts, heartbeats } = self.sockets;
+        let Sockets { callers, ready, directory, metrics, relay, facts, heartbeats } = self.sockets;
         let start = ControlStart {
             clock,
             settings,
@@ -128,6 +129,8 @@
             if let Some(metrics) = metrics {
                 serving.spawn(metrics, small_limits, directory::serve_metrics)?;
             }
+            let relay = TcpListener::from_std(relay)?;
+            spawn_local(relay_server::run(relay, traffic.clone()));
             wait_for_signal().await?;
             log::info!("the node is leaving");
             leave.send_replace(true);
@@ -143,6 +146,7 @@
         let directory = self.sockets.directory.local_addr()?;
         let ready = self.sockets.ready.local_addr()?;
         let peers = self.sockets.facts.local_addr()?;
+        let relay = self.sockets.relay.local_addr()?;
         let metrics = self.sockets.metrics.as_ref();
         let metrics = metrics.and_then(|listener| listener.local_addr().ok());
         let metrics = metrics.map_or_else(String::new, |address| address.to_string());
@@ -155,6 +159,7 @@
             peer_address: eco_format!("{peers}"),
             address: eco_format!("{callers}"),
             failure_domain: self.settings.failure_domain.clone(),
+            relay_address: eco_format!("{relay}"),
             cpu_millis: (self.settings.cpu_share * 1_000.0) as u32,
             state: MemberState::Alive,
             // The wall time overrules what members remember of an earlier life of this name.
@@ -175,6 +180,7 @@
             callers: listen(settings.callers_listen)?,
             ready: listen(settings.ready_listen)?,
             directory: listen(settings.directory_listen)?,
+            relay: listen(settings.relay_listen)?,
             metrics: settings.metrics_listen.map(listen).transpose()?,
             facts,
             heartbeats,
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -1,22 +1,26 @@
 //! Serving a query that all shards of an index answer together.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ecow::{EcoString, eco_format};
+use indexmap::IndexMap;
 use sassafrasproxy_core::{
-    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, merge_records, next_gather_step,
+    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, SendCause, SendId, TryResult,
+    merge_records, next_gather_step,
 };
 use sassafrasproxy_platform::PartSummary;
-use sassafrasproxy_wire::{GatherTarget, Route};
+use sassafrasproxy_wire::{GatherTarget, ReplicaEntry, Route};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::answer::{Answer, Refusal, merged, refuse};
+use crate::relay_client::{RelaySpec, start_relayed};
 use crate::request::CallerRequest;
 use crate::traffic::Traffic;
-use crate::upstream::{SendEnd, SendSpec, Sends, UpstreamAnswer, is_failure, start_send};
+use crate::upstream::{SendEnd, SendSpec, Sends, start_send};
 
 /// What is kept of the latency goal for sending the answer, in microseconds: timers fire up to a
 /// millisecond late.
@@ -27,13 +31,19 @@
 /// Reading a part takes some 25 us of a core, 50 us on half of one.
 const PART_US: u64 = 50;
 
+/// From how many parts of one failure domain on a relay there is asked for them.
+///
+/// One part alone would cost the relay's time and save nothing.
+const MIN_RELAYED: usize = 2;
+
 /// When a query of which too many shards were away may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 150;
 
-/// One shard's part.
+/// Records that came together: one part, or the merged parts of a relay's reply.
 #[derive(Debug)]
-struct Part {
-    stamp: EcoString,
+struct Unit {
+    /// The shards that the records are of, each with its signature.
+    stamps: Vec<(usize, EcoString)>,
     records: Bytes,
 }
 
@@ -47,7 +57,8 @@
 #[derive(Debug)]
 enum ShardState {
     Pending,
-    In(Part),
+    /// The part is in the unit with this number.
+    In(usize),
     Missing(FetchEnd),
 }
 
@@ -59,8 +70,35 @@
     fetch_plan: FetchPlan,
     plan: GatherPlan,
     shards: Vec<Shard>,
+    /// Every shard that is in belongs to one unit, and a merged unit to all of its shards.
+    units: Vec<Unit>,
     sends: Sends,
-    ends: mpsc::UnboundedSender<(usize, SendEnd)>,
+    ends: mpsc::UnboundedSender<GatherEnd>,
+    /// First sends to other failure domains, held back until all shards have been looked at.
+    far: Vec<FarSend>,
+    top_k: usize,
+}
+
+/// Something that ended.
+#[derive(Debug)]
+enum GatherEnd {
+    /// A send of this node's own.
+    Sent(usize, SendEnd),
+    /// Parts that a relay asked for.
+    Relayed {
+        /// How each shard's send ended, with its signature if it was answered.
+        parts: Vec<(usize, TryResult, Option<EcoString>)>,
+        /// The records of the answered parts, merged.
+        records: Bytes,
+    },
+}
+
+/// A first send to a replica in another failure domain.
+#[derive(Debug)]
+struct FarSend {
+    shard: usize,
+    replica: Arc<ReplicaEntry>,
+    send: SendId,
 }
 
 /// Serves a query by all shards of its route.
@@ -82,9 +120,16 @@
         }
         let wait = Duration::from_micros(wake_us.saturating_sub(now_us));
         match timeout(wait, ended.recv()).await {
-            Ok(Some((shard, end))) => {
-                gathering.take(shard, end);
+            Ok(Some(GatherEnd::Sent(shard, end))) => {
+                gathering.take_sent(shard, end);
                 wake_us = wake_us.min(gathering.advance(shard));
+                gathering.send_far();
+            }
+            Ok(Some(GatherEnd::Relayed { parts, records })) => {
+                let shards = gathering.take_relayed(parts, records);
+                let wakes = shards.into_iter().map(|shard| gathering.advance(shard));
+                wake_us = wakes.min().unwrap_or(u64::MAX).min(wake_us);
+                gathering.send_far();
             }
             Ok(None) | Err(_) => wake_us = gathering.advance_all(),
         }
@@ -97,7 +142,7 @@
         request: Rc<CallerRequest>,
         route: &'a Route,
         target: &GatherTarget,
-        ends: mpsc::UnboundedSender<(usize, SendEnd)>,
+        ends: mpsc::UnboundedSender<GatherEnd>,
     ) -> Self {
         let way_us = traffic.delays.borrow().round_trip_us();
         let reserve_us = SEND_US + PART_US * target.services.len() as u64;
@@ -121,8 +166,11 @@
             route,
             plan,
             shards,
+            units: Vec::new(),
             sends: Sends::default(),
             ends,
+            far: Vec::new(),
+            top_k: target.top_k,
         }
     }
 
@@ -137,7 +185,9 @@
 
     /// Takes the next step of every shard; returns when one wants another look.
     fn advance_all(&mut self) -> u64 {
-        (0..self.shards.len()).map(|shard| self.advance(shard)).min().unwrap_or(u64::MAX)
+        let wake_us = (0..self.shards.len()).map(|shard| self.advance(shard)).min();
+        self.send_far();
+        wake_us.unwrap_or(u64::MAX)
     }
 
     /// Takes the next steps of one shard; returns when it wants another look.
@@ -158,7 +208,7 @@
                 FetchStep::Send { replica, send, cause } => {
                     self.traffic.count_send(cause);
                     log::debug!(request:% = self.request.attempt_id, replica:%, cause:?; "a send starts");
-                    self.send(at, &replica, send);
+                    self.send(at, &replica, send, cause);
                 }
                 FetchStep::Wait { until_us } => return until_us.unwrap_or(u64::MAX),
                 FetchStep::Failed(failure) => {
@@ -168,39 +218,118 @@
         }
     }
 
-    fn send(&mut self, shard: usize, replica: &EcoString, send: sassafrasproxy_core::SendId) {
+    fn send(&mut self, shard: usize, replica: &EcoString, send: SendId, cause: SendCause) {
         let entry = self.traffic.pool.borrow().entry(replica).cloned();
         let Some(replica) = entry else { return };
+        let is_far = replica.failure_domain != self.traffic.settings().failure_domain;
+        if is_far && cause == SendCause::First {
+            return self.far.push(FarSend { shard, replica, send });
+        }
+        self.send_direct(FarSend { shard, replica, send });
+    }
+
+    fn send_direct(&mut self, far: FarSend) {
         let spec = SendSpec {
-            fetch: shard,
             request: self.request.clone(),
             route: self.route.name.clone(),
-            replica,
-            send,
+            replica: far.replica,
+            send: far.send,
             end_us: self.plan.end_us,
         };
-        self.sends.push(start_send(self.traffic, spec, self.ends.clone()));
+        let (ends, shard) = (self.ends.clone(), far.shard);
+        let tell = move |end| {
+            // The query may have been answered without this send.
+            let _ = ends.send(GatherEnd::Sent(shard, end));
+        };
+        self.sends.push(start_send(self.traffic, spec, tell));
+    }
+
+    /// Sends what was held back: by a relay where a failure domain has several, else directly.
+    fn send_far(&mut self) {
+        let mut by_domain: IndexMap<EcoString, Vec<FarSend>> = IndexMap::new();
+        for far in std::mem::take(&mut self.far) {
+            by_domain.entry(far.replica.failure_domain.clone()).or_default().push(far);
+        }
+        for (domain, sends) in by_domain {
+            let now_us = self.traffic.clock.now_us();
+            let expected_us = self.fetch_plan.expected_us;
+            let relay = match sends.len() < MIN_RELAYED {
+                true => None,
+                false => self.traffic.relays.pick(&domain, now_us, expected_us),
+            };
+            match relay {
+                Some(relay) => self.send_by_relay(relay, sends),
+                None => sends.into_iter().for_each(|far| self.send_direct(far)),
+            }
+        }
     }
 
-    /// Takes the end of a send in.
-    fn take(&mut self, at: usize, end: SendEnd) {
-        let result = end.try_result();
-        let part = match end {
-            SendEnd::Answered(answer) if !is_failure(answer.status) => part(answer),
-            _ => None,
+    fn send_by_relay(&mut self, relay: EcoString, sends: Vec<FarSend>) {
+        let spec = RelaySpec {
+            request: self.request.clone(),
+            route: self.route.name.clone(),
+            relay,
+            sends: sends.into_iter().map(|far| (far.shard, far.replica, far.send)).collect(),
+            top_k: self.top_k,
+            end_us: self.plan.end_us,
+            expected_us: self.fetch_plan.expected_us,
+            patience_us: self.fetch_plan.hedge_after_us,
         };
-        let is_known = |stamp: &EcoString| {
-            self.shards
-                .iter()
-                .any(|shard| matches!(&shard.state, ShardState::In(part) if part.stamp == *stamp))
+        let ends = self.ends.clone();
+        let tell = move |parts, records| {
+            let _ = ends.send(GatherEnd::Relayed { parts, records });
         };
+        self.sends.push(start_relayed(self.traffic, spec, tell));
+    }
+
+    /// Takes the end of a send of this node's own in.
+    fn take_sent(&mut self, at: usize, end: SendEnd) {
+        self.shards[at].fetch.note(end.try_result());
+        let SendEnd::Answered(answer) = end else { return };
+        let Some(stamp) = answer.head.stamp.filter(|_| answer.status.is_success()) else { return };
         // Two parts with one signature would make the whole answer wrong.
-        let part = part.filter(|part| !is_known(&part.stamp));
-        let shard = &mut self.shards[at];
-        shard.fetch.note(result);
-        if let (ShardState::Pending, Some(part)) = (&shard.state, part) {
-            shard.state = ShardState::In(part);
+        if matches!(self.shards[at].state, ShardState::Pending) && !self.has_stamp(&stamp) {
+            self.add_unit(Unit { stamps: vec![(at, stamp)], records: answer.body });
+        }
+    }
+
+    /// Takes parts that a relay asked for in; returns their shards.
+    ///
+    /// Their records are merged, so they are in all together or not at all. A part of one of
+    /// their shards that a second send brought meanwhile gives way.
+    fn take_relayed(
+        &mut self,
+        parts: Vec<(usize, TryResult, Option<EcoString>)>,
+        records: Bytes,
+    ) -> Vec<usize> {
+        let shards = parts.iter().map(|(shard, ..)| *shard).collect();
+        let mut stamps = Vec::with_capacity(parts.len());
+        for (shard, result, stamp) in parts {
+            self.shards[shard].fetch.note(result);
+            stamps.extend(stamp.map(|stamp| (shard, stamp)));
+        }
+        let is_fresh = stamps.iter().all(|(shard, stamp)| {
+            let is_alone = match self.shards[*shard].state {
+                ShardState::In(unit) => self.units[unit].stamps.len() == 1,
+                ShardState::Pending | ShardState::Missing(_) => true,
+            };
+            is_alone && !self.has_stamp(stamp)
+        });
+        if is_fresh && !stamps.is_empty() {
+            self.add_unit(Unit { stamps, records });
         }
+        shards
+    }
+
+    fn has_stamp(&self, stamp: &EcoString) -> bool {
+        self.units.iter().flat_map(|unit| &unit.stamps).any(|(_, known)| known == stamp)
+    }
+
+    fn add_unit(&mut self, unit: Unit) {
+        for (shard, _) in &unit.stamps {
+            self.shards[*shard].state = ShardState::In(self.units.len());
+        }
+        self.units.push(unit);
     }
 
     /// Logs which shards are left out and why; one line for each answer that leaves some out.
@@ -228,17 +357,16 @@
     fn answer(mut self, top_k: usize) -> Answer {
         self.sends.detach();
         self.note_missing();
+        let is_in = |at: usize, unit: usize| matches!(self.shards[at].state, ShardState::In(known) if known == unit);
         let mut summary = PartSummary::default();
-        let mut bodies: Vec<&[u8]> = Vec::with_capacity(self.shards.len());
-        for shard in &self.shards {
-            match &shard.state {
-                ShardState::In(part) => {
-                    summary.stamps.push(part.stamp.clone());
-                    bodies.push(&part.records);
-                }
-                ShardState::Pending | ShardState::Missing(_) => summary.missing_count += 1,
+        let mut bodies: Vec<&[u8]> = Vec::with_capacity(self.units.len());
+        for (number, unit) in self.units.iter().enumerate() {
+            if unit.stamps.iter().all(|(shard, _)| is_in(*shard, number)) {
+                summary.stamps.extend(unit.stamps.iter().map(|(_, stamp)| stamp.clone()));
+                bodies.push(&unit.records);
             }
         }
+        summary.missing_count = self.shards.len() - summary.stamps.len();
         self.traffic.metrics.missing_parts.inc_by(summary.missing_count as u64);
         merged(merge_records(bodies, top_k), &summary)
     }
@@ -255,11 +383,3 @@
         refuse(&self.traffic.metrics, refusal, Some(RETRY_AFTER_MS))
     }
 }
-
-/// The part that a success makes.
-fn part(answer: UpstreamAnswer) -> Option<Part> {
-    if !answer.status.is_success() {
-        return None;
-    }
-    Some(Part { stamp: answer.head.stamp?, records: answer.body })
-}
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -18,6 +18,8 @@
 mod peer_facts;
 mod peers;
 mod register;
+mod relay_client;
+mod relay_server;
 mod reload;
 mod request;
 mod single;
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/relay_client.rs
@@ -0,0 +1,398 @@
+//! Asking relays in other failure domains for the parts of a query.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ecow::EcoString;
+use futures_util::{SinkExt, StreamExt};
+use indexmap::IndexMap;
+use sassafrasproxy_config::GatewaySettings;
+use sassafrasproxy_core::{
+    Catalogue, CatalogueReplica, DirectoryNode, PoolSettings, SendId, SendOutcome, TryResult,
+    UpstreamPool,
+};
+use sassafrasproxy_wire::{
+    MemberState, RelayAsk, RelayEnd, RelayPart, RelayReply, RelayRequest, ReplicaEntry,
+};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::request::CallerRequest;
+use crate::traffic::Traffic;
+use crate::upstream::NotedSend;
+
+/// How long a connection to a relay may take: some round trips between failure domains.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+
+/// How many asks a relay may have of this node at once; far above what a node serves at once.
+const MAX_ASKS: u32 = 1_000;
+
+/// How much later than a send of its own an ask of a relay counts as stalled, in microseconds:
+/// the relay holds replies back for 3 ms so that parts share them, and its slowest part counts.
+const RELAY_SLACK_US: u64 = 15_000;
+
+/// How long past its deadline an ask is waited for, in microseconds.
+const REPLY_MARGIN_US: u64 = 60_000;
+
+/// All relays that this node may ask, and its connections to them.
+pub struct Relays {
+    /// Each relay as a replica of the failure domain that it is in.
+    pool: RefCell<UpstreamPool>,
+    addresses: RefCell<IndexMap<EcoString, SocketAddr>>,
+    links: RefCell<IndexMap<EcoString, Link>>,
+    next_id: Cell<u64>,
+}
+
+/// A connection to a relay.
+#[derive(Clone)]
+struct Link {
+    requests: mpsc::UnboundedSender<RelayRequest>,
+    asks: Rc<RefCell<IndexMap<u64, mpsc::UnboundedSender<RelayReply>>>>,
+}
+
+/// An ask under way; cancelled when dropped before its last reply.
+pub struct RelayedAsk {
+    id: u64,
+    link: Link,
+    replies: mpsc::UnboundedReceiver<RelayReply>,
+    is_over: bool,
+}
+
+impl RelayedAsk {
+    /// The next reply; `None` once the connection has ended.
+    pub async fn next(&mut self) -> Option<RelayReply> {
+        self.replies.recv().await
+    }
+
+    /// Notes that the last reply has come.
+    pub fn finish(&mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for RelayedAsk {
+    fn drop(&mut self) {
+        self.link.asks.borrow_mut().swap_remove(&self.id);
+        if !self.is_over {
+            // A connection that has ended has ended its asks.
+            let _ = self.link.requests.send(RelayRequest::Cancel { id: self.id });
+        }
+    }
+}
+
+impl Relays {
+    /// No relays yet.
+    pub fn new(settings: &GatewaySettings) -> Self {
+        let pool = PoolSettings {
+            failure_domain: settings.failure_domain.clone(),
+            warmup_factor: 0.0,
+            warmup_slack: 0.0,
+        };
+        Self {
+            pool: RefCell::new(UpstreamPool::new(pool)),
+            addresses: RefCell::default(),
+            links: RefCell::default(),
+            next_id: Cell::new(1),
+        }
+    }
+
+    /// Takes the nodes that are there in; the larger ones of each failure domain relay.
+    pub fn update(&self, now_us: u64, nodes: &[DirectoryNode], me: &str) {
+        let alive = |node: &&DirectoryNode| {
+            node.state == MemberState::Alive && !node.relay_address.is_empty()
+        };
+        let mut catalogue = Catalogue::default();
+        let mut addresses = IndexMap::new();
+        for node in nodes.iter().filter(alive).filter(|node| node.address != me) {
+            let domain = nodes.iter().filter(|one| one.failure_domain == node.failure_domain);
+            let largest = domain.map(|one| one.cpu_millis).max().unwrap_or(0);
+            let Ok(address) = node.relay_address.parse() else { continue };
+            if 2 * node.cpu_millis < largest {
+                continue;
+            }
+            let entry = ReplicaEntry {
+                id: node.relay_address.clone(),
+                born_ms: 0,
+                service: node.failure_domain.clone(),
+                address,
+                failure_domain: node.failure_domain.clone(),
+                slots: MAX_ASKS,
+                is_draining: false,
+                warmup_left_ms: 0,
+            };
+            let replica =
+                CatalogueReplica { entry: Arc::new(entry), seen_us: now_us, is_open: true };
+            catalogue.replicas.insert(node.relay_address.clone(), replica);
+            addresses.insert(node.relay_address.clone(), address);
+        }
+        self.pool.borrow_mut().update_unlimited(now_us, &catalogue, MAX_ASKS as usize);
+        self.links.borrow_mut().retain(|relay, _| addresses.contains_key(relay));
+        self.addresses.replace(addresses);
+    }
+
+    /// The relay of a failure domain that will probably answer first, if any can be asked.
+    pub fn pick(&self, domain: &str, now_us: u64, expected_us: u64) -> Option<EcoString> {
+        self.pool.borrow_mut().pick(domain, now_us, expected_us, &[])
+    }
+
+    /// Notes an ask of a relay.
+    pub fn start(
+        &self,
+        relay: &str,
+        now_us: u64,
+        expected_us: u64,
+        patience_us: u64,
+    ) -> Option<SendId> {
+        self.pool.borrow_mut().start(relay, now_us, expected_us, patience_us)
+    }
+
+    /// Notes the end of an ask of a relay; a lost one drops the connection.
+    ///
+    /// Guards against a connection that went silent: the next ask makes a new one.
+    pub fn finish(&self, relay: &str, send: SendId, now_us: u64, outcome: SendOutcome) {
+        self.pool.borrow_mut().finish(relay, send, now_us, outcome, None);
+        if outcome != SendOutcome::Answered && outcome != SendOutcome::Cancelled {
+            self.links.borrow_mut().swap_remove(relay);
+        }
+    }
+
+    /// Sends an ask to a relay.
+    pub async fn ask(&self, relay: &EcoString, mut ask: RelayAsk) -> eyre::Result<RelayedAsk> {
+        let link = self.link(relay).await?;
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        ask.id = id;
+        let (sender, replies) = mpsc::unbounded_channel();
+        link.asks.borrow_mut().insert(id, sender);
+        link.requests.send(RelayRequest::Ask(ask))?;
+        Ok(RelayedAsk { id, link, replies, is_over: false })
+    }
+
+    /// The connection to a relay, made if there is none.
+    async fn link(&self, relay: &EcoString) -> eyre::Result<Link> {
+        if let Some(link) = self.links.borrow().get(relay).filter(|link| link.is_open()) {
+            return Ok(link.clone());
+        }
+        let address = self.addresses.borrow().get(relay).copied();
+        let address = address.ok_or_else(|| eyre::eyre!("the relay is gone"))?;
+        let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let (requests, waiting) = mpsc::unbounded_channel();
+        let link = Link { requests, asks: Rc::default() };
+        spawn_local(run_link(stream, waiting, link.asks.clone()));
+        // Two requests may have connected at the same time; the later connection stays.
+        self.links.borrow_mut().insert(relay.clone(), link.clone());
+        Ok(link)
+    }
+}
+
+impl Link {
+    fn is_open(&self) -> bool {
+        !self.requests.is_closed()
+    }
+}
+
+/// What an ask needs.
+pub struct RelaySpec {
+    /// The caller's request.
+    pub request: Rc<CallerRequest>,
+    /// The route, for its latencies.
+    pub route: EcoString,
+    /// The relay.
+    pub relay: EcoString,
+    /// The sends that it makes: shard, replica, and the send as the pool knows it.
+    pub sends: Vec<(usize, Arc<ReplicaEntry>, SendId)>,
+    /// How many of the greatest records the answer needs.
+    pub top_k: usize,
+    /// When the replicas stop, in microseconds.
+    pub end_us: u64,
+    /// The usual time of a send, in microseconds.
+    pub expected_us: u64,
+    /// After which the relay counts as stalled, in microseconds.
+    pub patience_us: u64,
+}
+
+/// Starts an ask in a task of its own, which tells the ends of its sends as they come.
+pub fn start_relayed(
+    traffic: &Rc<Traffic>,
+    spec: RelaySpec,
+    tell: impl Fn(Vec<(usize, TryResult, Option<EcoString>)>, Bytes) + 'static,
+) -> AbortHandle {
+    let traffic = traffic.clone();
+    spawn_local(async move {
+        let started_us = traffic.clock.now_us();
+        let mut open: IndexMap<usize, NotedSend> = spec
+            .sends
+            .iter()
+            .map(|(shard, replica, send)| {
+                (*shard, NotedSend::new(&traffic, replica.id.clone(), *send))
+            })
+            .collect();
+        let patience_us = spec.patience_us + RELAY_SLACK_US;
+        let ask = traffic.relays.start(&spec.relay, started_us, spec.expected_us, patience_us);
+        let mut noted = NotedAsk {
+            traffic: traffic.clone(),
+            relay: spec.relay.clone(),
+            send: ask.unwrap_or(0),
+            outcome: SendOutcome::Cancelled,
+        };
+        let left_us = spec.end_us.saturating_sub(started_us);
+        let limit = Duration::from_micros(left_us + REPLY_MARGIN_US);
+        let exchange = exchange(&traffic, &spec, left_us, &mut open, &tell);
+        noted.outcome = match timeout(limit, exchange).await {
+            Ok(Ok(())) => SendOutcome::Answered,
+            Ok(Err(error)) => {
+                let (request, relay) = (&spec.request.attempt_id, &spec.relay);
+                log::info!(request:%, relay:%, error:%; "a relay failed");
+                SendOutcome::Unreachable
+            }
+            Err(_) => SendOutcome::Lost,
+        };
+        let is_sent = noted.outcome == SendOutcome::Lost;
+        drop(noted);
+        if open.is_empty() {
+            return;
+        }
+        // Whether the replicas ran what a lost relay was asked for is not known.
+        let result = if is_sent { TryResult::MayHaveRun } else { TryResult::Unsent };
+        tell(open.keys().map(|shard| (*shard, result, None)).collect(), Bytes::new());
+    })
+    .abort_handle()
+}
+
+/// Tells the pool of relays how an ask ended, also when its task is aborted.
+struct NotedAsk {
+    traffic: Rc<Traffic>,
+    relay: EcoString,
+    send: SendId,
+    outcome: SendOutcome,
+}
+
+impl Drop for NotedAsk {
+    fn drop(&mut self) {
+        let now_us = self.traffic.clock.now_us();
+        self.traffic.relays.finish(&self.relay, self.send, now_us, self.outcome);
+    }
+}
+
+/// Asks the relay and passes its replies on until every send has ended.
+async fn exchange(
+    traffic: &Rc<Traffic>,
+    spec: &RelaySpec,
+    left_us: u64,
+    open: &mut IndexMap<usize, NotedSend>,
+    tell: &impl Fn(Vec<(usize, TryResult, Option<EcoString>)>, Bytes),
+) -> eyre::Result<()> {
+    let started_us = traffic.clock.now_us();
+    let mut ask = traffic.relays.ask(&spec.relay, relay_ask(spec, left_us)).await?;
+    while !open.is_empty() {
+        let Some(reply) = ask.next().await else {
+            // The connection ended after the ask: the replicas may run it.
+            let lost = open.drain(..).map(|(shard, noted)| {
+                noted.end(SendOutcome::Cancelled, None);
+                (shard, TryResult::MayHaveRun, None)
+            });
+            tell(lost.collect(), Bytes::new());
+            eyre::bail!("the connection ended");
+        };
+        let took_us = traffic.clock.now_us() - started_us;
+        let mut parts = Vec::with_capacity(reply.parts.len());
+        for part in reply.parts {
+            let Some(noted) = open.swap_remove(&part.shard) else { continue };
+            let (outcome, result, stamp) = meaning(part.end);
+            noted.end(outcome, part.reported);
+            if result == TryResult::Answered {
+                traffic.note_latency(&spec.route, took_us);
+            }
+            parts.push((part.shard, result, stamp));
+        }
+        tell(parts, Bytes::from(reply.records));
+    }
+    ask.finish();
+    Ok(())
+}
+
+/// What a relay's end of a send means for the replica, for the fetch, and its signature.
+fn meaning(end: RelayEnd) -> (SendOutcome, TryResult, Option<EcoString>) {
+    match end {
+        RelayEnd::Answered { stamp } => (SendOutcome::Answered, TryResult::Answered, Some(stamp)),
+        RelayEnd::Faulty => (SendOutcome::Faulty, TryResult::MayHaveRun, None),
+        RelayEnd::NotRun => (SendOutcome::Refused, TryResult::NotRun, None),
+        RelayEnd::Misdirected => (SendOutcome::Misdirected, TryResult::Unsent, None),
+        RelayEnd::Unsent => (SendOutcome::Unreachable, TryResult::Unsent, None),
+        RelayEnd::Lost => (SendOutcome::Lost, TryResult::MayHaveRun, None),
+    }
+}
+
+fn relay_ask(spec: &RelaySpec, left_us: u64) -> RelayAsk {
+    let request = &spec.request;
+    let headers = request.headers.iter();
+    let headers = headers.map(|(name, value)| (name.as_str().into(), value.as_bytes().to_vec()));
+    let parts = spec.sends.iter().map(|(shard, replica, _)| RelayPart {
+        shard: *shard,
+        replica: replica.id.clone(),
+        service: replica.service.clone(),
+        address: replica.address,
+    });
+    RelayAsk {
+        id: 0,
+        attempt_id: request.attempt_id.clone(),
+        route: spec.route.clone(),
+        method: request.method.as_str().into(),
+        uri: ecow::eco_format!("{}", request.uri),
+        headers: headers.collect(),
+        body: request.body.to_vec(),
+        left_us,
+        top_k: spec.top_k,
+        parts: parts.collect(),
+    }
+}
+
+/// Carries requests and replies until the connection ends or nobody uses it any more.
+async fn run_link(
+    stream: TcpStream,
+    mut waiting: mpsc::UnboundedReceiver<RelayRequest>,
+    asks: Rc<RefCell<IndexMap<u64, mpsc::UnboundedSender<RelayReply>>>>,
+) {
+    let (mut sink, mut frames) = Framed::new(stream, LengthDelimitedCodec::new()).split();
+    loop {
+        tokio::select! {
+            request = waiting.recv() => {
+                let Some(request) = request else { break };
+                let frame = match postcard::to_stdvec(&request) {
+                    Ok(frame) => frame,
+                    Err(error) => {
+                        log::error!(error:%; "an ask cannot be written");
+                        break;
+                    }
+                };
+                if sink.send(Bytes::from(frame)).await.is_err() {
+                    break;
+                }
+            }
+            frame = frames.next() => {
+                let Some(Ok(frame)) = frame else { break };
+                let reply: RelayReply = match postcard::from_bytes(&frame) {
+                    Ok(reply) => reply,
+                    Err(error) => {
+                        log::warn!(error:%; "a reply cannot be read");
+                        break;
+                    }
+                };
+                // The ask may have been given up on.
+                if let Some(ask) = asks.borrow().get(&reply.id) {
+                    let _ = ask.send(reply);
+                }
+            }
+        }
+    }
+    // Whoever still waits hears that the connection has ended.
+    asks.borrow_mut().clear();
+}
--- a/crates/sassafrasproxy-gateway/src/single.rs
+++ b/crates/sassafrasproxy-gateway/src/single.rs
@@ -50,21 +50,23 @@
                 let entry = traffic.pool.borrow().entry(&replica).cloned();
                 let Some(replica) = entry else { continue };
                 let spec = SendSpec {
-                    fetch: 0,
                     request: request.clone(),
                     route: route.name.clone(),
                     replica,
                     send,
                     end_us,
                 };
-                sends.push(start_send(traffic, spec, ends.clone()));
+                let ends = ends.clone();
+                // The request may have been answered without this send.
+                let tell = move |end| drop(ends.send(end));
+                sends.push(start_send(traffic, spec, tell));
                 continue;
             }
             FetchStep::Wait { until_us } => until_us.unwrap_or(end_us).min(end_us),
             FetchStep::Failed(failure) => return fail(traffic, failure, failure_answer),
         };
         let wait = Duration::from_micros(until_us.saturating_sub(now_us));
-        let Ok(Some((_, end))) = timeout(wait, ended.recv()).await else { continue };
+        let Ok(Some(end)) = timeout(wait, ended.recv()).await else { continue };
         fetch.note(end.try_result());
         if let SendEnd::Answered(answer) = end {
             if !is_failure(answer.status) || !route.is_idempotent {
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -11,7 +11,8 @@
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
     CallerDelays, Catalogue, Fanout, FetchPlan, PoolSettings, RetryBudget, RetryBudgetPolicy,
-    RouteTimes, SendCause, SplitChooser, US_PER_MS, UpstreamPool, count_large, directory_addresses,
+    RouteTimes, SendCause, SendTimes, SplitChooser, US_PER_MS, UpstreamPool, count_large,
+    directory_addresses,
 };
 use sassafrasproxy_wire::{Route, RouteTarget, WeightedService};
 use tokio::sync::watch;
@@ -19,6 +20,7 @@
 
 use crate::connections::{Connections, connect};
 use crate::metrics::{GatewayMetrics, OfKind};
+use crate::relay_client::Relays;
 use crate::view::GatewayView;
 
 /// How many nodes are counted on before any is known, for each node's share of what all share.
@@ -34,6 +36,7 @@
     pub view: RefCell<GatewayView>,
     pub pool: RefCell<UpstreamPool>,
     pub budget: RefCell<RetryBudget>,
+    pub relays: Relays,
     pub connections: RefCell<Connections>,
     pub metrics: Arc<GatewayMetrics>,
     pub delays: RefCell<CallerDelays>,
@@ -67,6 +70,7 @@
             view: RefCell::default(),
             pool: RefCell::new(UpstreamPool::new(pool_settings(&settings))),
             budget: RefCell::new(RetryBudget::new(budget_policy(&settings), clock.now_us())),
+            relays: Relays::new(&settings),
             settings: RefCell::new(settings),
             connections: RefCell::default(),
             metrics,
@@ -143,6 +147,16 @@
         self.metrics.sends.get_or_create(&OfKind::new(kind)).inc();
     }
 
+    /// The times of a route by its name, if it has shown any.
+    pub fn known_times(&self, route: &EcoString) -> Option<SendTimes> {
+        let catalogue = self.catalogue();
+        let route = catalogue.routes.routes().find(|one| one.name == *route)?;
+        let goal_us = route.latency_goal_ms * US_PER_MS;
+        let mut times = self.times.borrow_mut();
+        let times = times.entry(route.name.clone()).or_default();
+        Some(times.send_times(goal_us, Fanout::Shards))
+    }
+
     /// Notes how long an answer of a route took.
     pub fn note_latency(&self, route: &EcoString, took_us: u64) {
         let mut times = self.times.borrow_mut();
@@ -161,6 +175,7 @@
         self.node_count.set(self.node_count.get().max(view.nodes.len()).max(view.registered));
         let senders = count_large(&view.nodes).max(MIN_NODES).min(self.node_count.get());
         self.pool.borrow_mut().update(now_us, &catalogue, senders);
+        self.relays.update(now_us, &view.nodes, &self.address);
         self.metrics.configuration_version.set(catalogue.version as i64);
         self.metrics.members.set(view.nodes.len() as i64);
         let open = catalogue.replicas.values().filter(|replica| replica.is_open).count();
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -11,7 +11,6 @@
 use sassafrasproxy_core::{SendId, SendOutcome, TryResult, US_PER_MS};
 use sassafrasproxy_platform::{UpstreamHead, upstream_head, write_upstream_request};
 use sassafrasproxy_wire::ReplicaEntry;
-use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
@@ -70,7 +69,14 @@
         }
     }
 
-    fn outcome(&self) -> SendOutcome {
+    /// What the replica said of its load: requests that it runs and queues.
+    pub fn reported(&self) -> Option<u32> {
+        let Self::Answered(answer) = self else { return None };
+        answer.head.running.zip(answer.head.waiting).map(|(running, waiting)| running + waiting)
+    }
+
+    /// What it means for the replica.
+    pub fn outcome(&self) -> SendOutcome {
         match self {
             Self::Answered(answer) if is_failure(answer.status) => SendOutcome::Faulty,
             Self::Answered(_) => SendOutcome::Answered,
@@ -89,8 +95,6 @@
 
 /// What a send needs.
 pub struct SendSpec {
-    /// Which fetch of the request it belongs to.
-    pub fetch: usize,
     /// The caller's request.
     pub request: Rc<CallerRequest>,
     /// The route, for its latencies.
@@ -140,43 +144,31 @@
     }
 }
 
-/// Starts a send in a task of its own, which reports its end and keeps the connection.
+/// Starts a send in a task of its own, which tells its end and keeps the connection.
 ///
 /// The task outlives a request that is answered without it: closing its connection would make
 /// the replica spend a slot on a new one.
 pub fn start_send(
     traffic: &Rc<Traffic>,
     spec: SendSpec,
-    ends: mpsc::UnboundedSender<(usize, SendEnd)>,
+    tell: impl FnOnce(SendEnd) + 'static,
 ) -> AbortHandle {
     let traffic = traffic.clone();
     let task = spawn_local(async move {
-        let fetch = spec.fetch;
-        let mut noted = NotedSend {
-            traffic: traffic.clone(),
-            replica: spec.replica.id.clone(),
-            send: spec.send,
-            outcome: SendOutcome::Cancelled,
-            reported: None,
-        };
+        let noted = NotedSend::new(&traffic, spec.replica.id.clone(), spec.send);
         let started_us = traffic.clock.now_us();
         let end = run(&traffic, &spec).await;
-        noted.outcome = end.outcome();
-        if let SendEnd::Answered(answer) = &end {
-            noted.reported = answer.head.running.zip(answer.head.waiting).map(|(a, b)| a + b);
-            if !is_failure(answer.status) {
-                traffic.note_latency(&spec.route, traffic.clock.now_us() - started_us);
-            }
+        if end.try_result() == TryResult::Answered {
+            traffic.note_latency(&spec.route, traffic.clock.now_us() - started_us);
         }
-        drop(noted);
-        // The request may have been answered without this send.
-        let _ = ends.send((fetch, end));
+        noted.end(end.outcome(), end.reported());
+        tell(end);
     });
     task.abort_handle()
 }
 
 /// Tells the pool how a send ended, also when its task is aborted.
-struct NotedSend {
+pub struct NotedSend {
     traffic: Rc<Traffic>,
     replica: EcoString,
     send: SendId,
@@ -184,6 +176,20 @@
     reported: Option<u32>,
 }
 
+impl NotedSend {
+    /// A send that counts as cancelled until its end is known.
+    pub fn new(traffic: &Rc<Traffic>, replica: EcoString, send: SendId) -> Self {
+        let outcome = SendOutcome::Cancelled;
+        Self { traffic: traffic.clone(), replica, send, outcome, reported: None }
+    }
+
+    /// Notes the end, and the replica's word on its load.
+    pub fn end(mut self, outcome: SendOutcome, reported: Option<u32>) {
+        self.outcome = outcome;
+        self.reported = reported;
+    }
+}
+
 impl Drop for NotedSend {
     fn drop(&mut self) {
         let kind = match self.outcome {
--- a/crates/sassafrasproxy-node/src/node.rs
+++ b/crates/sassafrasproxy-node/src/node.rs
@@ -110,6 +110,7 @@
             peer_address: text(settings.peer_advertise.unwrap_or(peer_address)),
             address: text(settings.advertise.unwrap_or(address)),
             failure_domain: settings.failure_domain.clone(),
+            relay_address: EcoString::new(),
             cpu_millis: 0,
             state: MemberState::Alive,
             // The wall time overrules what members remember of an earlier life of this name.
--- a/crates/sassafrasproxy-standin/examples/slopes.rs
+++ b/crates/sassafrasproxy-standin/examples/slopes.rs
@@ -357,6 +357,7 @@
         peer_address: eco_format!("10.0.{}.{}:7002", number / 250, number % 250),
         address: eco_format!("10.0.{}.{}:7001", number / 250, number % 250),
         failure_domain: eco_format!("domain-{}", number % DOMAINS),
+        relay_address: EcoString::new(),
         cpu_millis: 0,
         state: MemberState::Alive,
         incarnation: 1_700_000_000_000,
--- a/crates/sassafrasproxy-wire/src/peer.rs
+++ b/crates/sassafrasproxy-wire/src/peer.rs
@@ -156,6 +156,9 @@
     pub address: EcoString,
     /// Where it is.
     pub failure_domain: EcoString,
+    /// The address where it relays requests to replicas near it; empty where it does not.
+    #[serde(default, skip_serializing_if = "EcoString::is_empty")]
+    pub relay_address: EcoString,
     /// How much of a core it has, in thousandths; 0 where it does not say.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub cpu_millis: u32,
