Let a node that follows a peer drop replicas that leave, and mend what else kept them

Cause, from the log of the node that sent: the entry was kept as one that may have lapsed with the store (is_held), as the node had lost the store before it followed a peer, and never heard that it was back. Test: cli gateway_store turned_away (10 requests to a replica that had left; none after the change). Found on the way, each with a test that fails without the change: a node said it knew everything up to the last page of a list, not the first (store_follow known_while_paging); entries that a replica wrote earlier and that reach the store late made it ready again (discovery late_entry).

--- a/crates/sassafrasproxy-cli/src/logging.rs
+++ b/crates/sassafrasproxy-cli/src/logging.rs
@@ -18,6 +18,10 @@
 /// At 150 bytes a line this is 300 KB, and some seconds of a busy node.
 const MAX_WAITING: usize = 2_048;
 
+/// The most bytes of one write, but for a longer line: what a pipe takes whole, so that the lines
+/// of processes that share one do not mix.
+const MAX_WRITE_BYTES: usize = 4_096;
+
 /// How often waiting lines are written, so that one wake-up serves many.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -115,11 +119,26 @@
             let line = json!({ "level": "WARN", "target": "logs", "dropped_lines": dropped });
             batch.extend_from_slice(format!("{line}\n").as_bytes());
         }
-        let mut stdout = io::stdout().lock();
-        if stdout.write_all(&batch).and_then(|()| stdout.flush()).is_err() {
+        if write_batch(&batch).is_err() {
             // Nobody reads: there is no other place to say so.
             return;
         }
         sleep(WRITE_INTERVAL);
     }
 }
+
+/// Writes whole lines, some at a time.
+fn write_batch(batch: &[u8]) -> io::Result<()> {
+    let mut stdout = io::stdout().lock();
+    let mut some: Vec<u8> = Vec::with_capacity(MAX_WRITE_BYTES);
+    for line in batch.split_inclusive(|byte| *byte == b'\n') {
+        if some.len() + line.len() > MAX_WRITE_BYTES {
+            stdout.write_all(&some)?;
+            stdout.flush()?;
+            some.clear();
+        }
+        some.extend_from_slice(line);
+    }
+    stdout.write_all(&some)?;
+    stdout.flush()
+}
--- a/crates/sassafrasproxy-cli/tests/gateway/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, clippy::unwrap_used, reason = "each test file uses its part")]
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -60,10 +61,14 @@
 
     /// Starts one more gateway.
     pub fn add_gateway(&mut self) -> usize {
+        self.add_gateway_at(self.store.address())
+    }
+
+    /// Starts one more gateway that reaches the store at an address.
+    pub fn add_gateway_at(&mut self, store: SocketAddr) -> usize {
         let number = self.gateways.len();
         let seeds: Vec<_> = self.gateways.iter().map(GatewayProcess::peers).collect();
         let name = format!("vm-{number}");
-        let store = self.store.address();
         let domain = ["west", "east"][number % 2];
         let gateway = GatewayProcess::start(binary(), &name, domain, store, &seeds).unwrap();
         self.gateways.push(gateway);
--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -8,6 +8,7 @@
 
 use http::Request;
 use http_body_util::Full;
+use nix::sys::signal::Signal;
 use sassafrasproxy_platform_standin::{StoreMode, ask_with};
 use serde_json::{Value, json};
 
@@ -180,3 +181,48 @@
         system.ask_until(at, "/late/7", is_east).await;
     }
 }
+
+/// The store turns one node away; the peer that it follows dies, and it follows another. A
+/// replica whose entry goes then has left. A node that still took the store to be away for all
+/// would keep it until lapsed entries are back, and as it never asks the store itself, for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn turned_away() {
+    let mut system = System::start(12).await;
+    let door = system.store.door();
+    let added: Vec<usize> = (0..4).map(|_| system.add_gateway_at(door.address())).collect();
+    let follows = |system: &System, at: usize| {
+        let lines = system.gateways[at].lines();
+        lines.into_iter().rfind(|line| line["message"] == "the node follows a peer")
+    };
+    let end = Instant::now() + PATIENCE;
+    let (at, line) = loop {
+        let found = added.iter().find_map(|at| Some((*at, follows(&system, *at)?)));
+        if let Some(found) = found {
+            break found;
+        }
+        assert!(Instant::now() < end, "nobody follows a peer");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let peer = line["peer"].as_str().unwrap();
+    door.refuse(Some(503));
+    let followed =
+        system.gateways.iter().find(|gateway| gateway.peers().to_string() == peer).unwrap();
+    followed.signal(Signal::SIGKILL).unwrap();
+    system.gateways[at].wait_for_line("the store is lost").unwrap();
+    let follows_another = |line: &Value| {
+        line["message"] == "the node follows a peer" && line["peer"].as_str() != Some(peer)
+    };
+    let end = Instant::now() + PATIENCE;
+    while !system.gateways[at].lines().iter().any(follows_another) {
+        assert!(Instant::now() < end, "no other peer is followed");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    system.store.remove("servers/da");
+    // Longer than lapsed entries may take to be back.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = system.replica("da").arrivals().len();
+    for _ in 0..10 {
+        assert_eq!(system.ask(at, "/desk/7").await.status, 200);
+    }
+    assert_eq!(system.replica("da").arrivals().len(), before, "new work after it left");
+}
--- a/crates/sassafrasproxy-core/src/forward/discovery.rs
+++ b/crates/sassafrasproxy-core/src/forward/discovery.rs
@@ -141,6 +141,11 @@
         /// Whether it is kept for a while because the store was away.
         is_held: bool,
     },
+    /// An entry that a replica wrote before the one that is known was left aside.
+    OldEntry {
+        /// The replica's id.
+        id: EcoString,
+    },
     /// A failure domain was taken out or brought back.
     Domain {
         /// Its name.
@@ -193,6 +198,11 @@
     routes: Arc<RouteTable>,
     services: Arc<IndexMap<EcoString, RoutedService>>,
     replicas: IndexMap<EcoString, KnownReplica>,
+    /// The newest entry seen of each replica, by start and sequence, also once it is gone.
+    ///
+    /// Guards against entries that reach the store late: a replica that said that it leaves would
+    /// seem ready again by what it wrote before.
+    newest_entries: IndexMap<EcoString, (u64, u64)>,
     /// Failure domains that are out, with the revision and whether the last list named them.
     domains_out: IndexMap<EcoString, (u64, bool)>,
     nodes: IndexMap<EcoString, NodeRegistration>,
@@ -469,6 +479,13 @@
 
     fn see_replica(&mut self, now_us: u64, entry: ReplicaEntry, revision: u64) {
         let id = entry.id.clone();
+        let stamp = (entry.born_ms, entry.sequence);
+        let newest = self.newest_entries.entry(id.clone()).or_insert(stamp);
+        if stamp < *newest {
+            self.notes.push(DiscoveryNote::OldEntry { id });
+            return;
+        }
+        *newest = stamp;
         if let Some(known) = self.replicas.get_mut(&id) {
             if revision < known.revision {
                 return;
--- a/crates/sassafrasproxy-core/src/forward/store_sync.rs
+++ b/crates/sassafrasproxy-core/src/forward/store_sync.rs
@@ -153,6 +153,17 @@
         false
     }
 
+    /// Up to which revision everything is known; 0 before the first list has ended.
+    ///
+    /// After a list of several pages this is the first page's: what changed while later pages
+    /// were read comes by the watch only.
+    pub fn known_revision(&self) -> u64 {
+        match self.phase {
+            Phase::Listing { .. } => 0,
+            Phase::Watching { after_revision } => after_revision,
+        }
+    }
+
     /// Notes that everything up to a revision was learned elsewhere.
     pub fn reach(&mut self, revision: u64) {
         if let Phase::Watching { after_revision } = &mut self.phase {
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -9,6 +9,7 @@
     ReplicaEntry {
         id: id.into(),
         born_ms: 1,
+        sequence: 1,
         service: "s".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         failure_domain: "west".into(),
@@ -79,6 +80,22 @@
     assert!(!catalogue.replicas.contains_key("b"));
 }
 
+/// A replica says that it leaves. What it wrote a second before reaches the store only then: it
+/// seems ready again and would get work until it is gone. A new life of it may be ready.
+#[test]
+fn late_entry() {
+    let mut discovery = listed();
+    let draining = ReplicaEntry { is_draining: true, sequence: 7, ..entry("a") };
+    discovery.step(1, seen(draining, 6));
+    discovery.step(1, seen(ReplicaEntry { sequence: 6, ..entry("a") }, 7));
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+    discovery.step(2, gone("a", 8));
+    discovery.step(2, seen(ReplicaEntry { sequence: 5, ..entry("a") }, 9));
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+    discovery.step(3, seen(ReplicaEntry { born_ms: 2, ..entry("a") }, 10));
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b", "a"]);
+}
+
 /// An old removal comes after a newer entry, as when pages and watch overlap.
 #[test]
 fn old_removal() {
--- a/crates/sassafrasproxy-core/tests/fetches.rs
+++ b/crates/sassafrasproxy-core/tests/fetches.rs
@@ -26,6 +26,7 @@
             let entry = ReplicaEntry {
                 id: ecow::eco_format!("r{at}"),
                 born_ms: 1,
+                sequence: 1,
                 service: "s".into(),
                 address: "127.0.0.1:1".parse().unwrap(),
                 failure_domain: "west".into(),
--- a/crates/sassafrasproxy-core/tests/replica_choice.rs
+++ b/crates/sassafrasproxy-core/tests/replica_choice.rs
@@ -23,6 +23,7 @@
         let entry = ReplicaEntry {
             id: (*id).into(),
             born_ms: 1,
+            sequence: 1,
             service: "s".into(),
             address: "127.0.0.1:1".parse().unwrap(),
             failure_domain: (*domain).into(),
--- a/crates/sassafrasproxy-core/tests/shards/mod.rs
+++ b/crates/sassafrasproxy-core/tests/shards/mod.rs
@@ -174,6 +174,7 @@
                 let entry = ReplicaEntry {
                     id: id.clone(),
                     born_ms: 1,
+                    sequence: 1,
                     service: service.clone(),
                     address: "127.0.0.1:1".parse().unwrap(),
                     failure_domain: eco_format!("domain-{copy}"),
--- a/crates/sassafrasproxy-core/tests/store_follow.rs
+++ b/crates/sassafrasproxy-core/tests/store_follow.rs
@@ -22,6 +22,21 @@
     assert!(matches!(sync.next(0), StoreStep::Watch { after_revision: 10, .. }));
 }
 
+/// While the second page of a list is read, a replica of the first page leaves. A node that said
+/// it knew everything up to the second page's revision would never tell its followers of that,
+/// and they would go on sending to the replica.
+#[test]
+fn known_while_paging() {
+    let mut sync = sync();
+    assert_eq!(sync.known_revision(), 0);
+    sync.note(0, page(10, Some("k5")));
+    assert_eq!(sync.known_revision(), 0);
+    sync.note(0, page(14, None));
+    assert_eq!(sync.known_revision(), 10, "the change at 12 is still to come");
+    sync.note(0, StoreOutcome::Watched { revision: 15, has_changes: true });
+    assert_eq!(sync.known_revision(), 15);
+}
+
 /// A list that broke off starts anew: its first pages are no longer the newest.
 #[test]
 fn broken_list() {
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -131,6 +131,8 @@
             *known = revision.max(*known);
             is_more
         });
+        let version = self.discovery.borrow().version();
+        self.gossip.borrow_mut().set_progress(version, self.store_revision());
     }
 
     /// Takes events of discovery in and publishes what they change.
@@ -148,7 +150,6 @@
         for node in discovery.nodes() {
             gossip.add_seed(node.member.peer_address.clone());
         }
-        gossip.set_progress(discovery.version(), self.store_revision());
         let registered = discovery.nodes().count();
         if let Some(catalogue) = catalogue {
             self.view.send_modify(|view| {
@@ -231,6 +232,9 @@
         DiscoveryNote::ReplicaGone { id, is_held } => {
             log::info!(replica:% = id, is_held, store_revision; "a replica is listed no more");
         }
+        DiscoveryNote::OldEntry { id } => {
+            log::info!(replica:% = id, store_revision; "an older entry of a replica is ignored");
+        }
         DiscoveryNote::Domain { domain, is_out } => {
             log::info!(domain:%, is_out, store_revision; "a failure domain was moved");
         }
--- a/crates/sassafrasproxy-gateway/src/follow.rs
+++ b/crates/sassafrasproxy-gateway/src/follow.rs
@@ -63,6 +63,8 @@
         if sync.note(state.clock.now_us(), outcome) {
             state.discover([DiscoveryEvent::ListEnded]);
         }
+        // Only now: peers that wait for this revision are told what was discovered up to it.
+        state.reach(sync.known_revision());
     }
 }
 
@@ -79,9 +81,6 @@
     }
     let last_key: Option<EcoString> = page.items.last().map(|item| item.key.clone());
     let next_after = last_key.filter(|_| page.has_more);
-    if next_after.is_none() {
-        state.reach(page.revision);
-    }
     state.discover(page.items.into_iter().filter_map(item_event));
     Ok(StoreOutcome::Page { revision: page.revision, next_after })
 }
@@ -98,7 +97,6 @@
     let (status, body) = client.call(call, limit).await?;
     let (changes, revision) = decode_changes(status, &body)?;
     let has_changes = !changes.is_empty();
-    state.reach(revision);
     state.discover(changes.into_iter().filter_map(change_event));
     Ok(StoreOutcome::Watched { revision, has_changes })
 }
--- a/crates/sassafrasproxy-gateway/src/peer_facts.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_facts.rs
@@ -134,6 +134,9 @@
         };
         let failure = match pulled {
             Ok(facts) if !facts.is_store_away => {
+                // What the store says is in reach again, though not from the store itself: an
+                // entry that goes from now on is a replica that leaves.
+                state.discover([DiscoveryEvent::StoreBack]);
                 learn(state, facts);
                 return true;
             }
@@ -171,16 +174,18 @@
 /// Takes what a peer told in.
 fn learn(state: &ControlState, told: PeerFacts) {
     let hold_until_us = state.clock.now_us() + told.hold_ms * US_PER_MS;
-    state.reach(told.revision);
+    let revision = told.revision;
     let hold = (told.hold_ms > 0).then_some(DiscoveryEvent::HoldUntil { until_us: hold_until_us });
     if !told.is_change {
         let whole = DiscoveryEvent::PeerFacts { facts: told.facts, revision: told.revision };
-        return state.discover(hold.into_iter().chain([whole]));
+        state.discover(hold.into_iter().chain([whole]));
+        return state.reach(revision);
     }
     let seen = |(fact, revision)| DiscoveryEvent::Seen { fact, revision };
     let gone = |(subject, revision)| DiscoveryEvent::Gone { subject, revision };
     let changes = told.facts.into_iter().map(seen).chain(told.gone.into_iter().map(gone));
     state.discover(hold.into_iter().chain(changes));
+    state.reach(revision);
 }
 
 async fn answer(
--- a/crates/sassafrasproxy-gateway/src/relay_client.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_client.rs
@@ -120,6 +120,7 @@
             let entry = ReplicaEntry {
                 id: node.relay_address.clone(),
                 born_ms: 0,
+                sequence: 1,
                 service: node.failure_domain.clone(),
                 address,
                 failure_domain: node.failure_domain.clone(),
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -187,6 +187,7 @@
     ReplicaEntry {
         id: part.replica.clone(),
         born_ms: 0,
+        sequence: 1,
         service: part.service.clone(),
         address: part.address,
         failure_domain: EcoString::new(),
--- a/crates/sassafrasproxy-wire/src/route.rs
+++ b/crates/sassafrasproxy-wire/src/route.rs
@@ -138,6 +138,8 @@
     pub id: EcoString,
     /// When it started, in milliseconds since 1970; tells two lives of one id apart.
     pub born_ms: u64,
+    /// Grows with each entry that one life of the replica writes.
+    pub sequence: u64,
     /// The service.
     pub service: EcoString,
     /// Where it listens; another replica may listen there later.
