Connect ahead of need only to the replicas that this node sends to itself

Cause: after all nodes had lost power, replicas held the old connections and reset new ones over their cap: 405 sends failed in the two seconds after the return (incident inc-0b5d, from its log), as each of 8 nodes connected to every replica.

--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -200,6 +200,11 @@
         ids.iter().any(|id| self.replicas[id].is_usable(now_us))
     }
 
+    /// Whether a service has any replica, usable or not.
+    pub fn has_replicas(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// How many replicas of the services each failure domain holds.
     pub fn domain_counts<'a>(
         &self,
--- a/crates/sassafrasproxy-gateway/src/relay_client.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_client.rs
@@ -138,6 +138,11 @@
         self.addresses.replace(addresses);
     }
 
+    /// Whether a failure domain has a relay.
+    pub fn has_relay(&self, domain: &str) -> bool {
+        self.pool.borrow().has_replicas(domain)
+    }
+
     /// The relay of a failure domain that will probably answer first, if any can be asked.
     pub fn pick(&self, domain: &str, now_us: u64, expected_us: u64) -> Option<EcoString> {
         self.pool.borrow_mut().pick(domain, now_us, expected_us, &[])
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -186,7 +186,8 @@
             return;
         }
         for (id, replica) in &catalogue.replicas {
-            if replica.is_open && !self.connections.borrow().has_idle(id) {
+            let is_own = self.is_own(&replica.entry.failure_domain);
+            if is_own && replica.is_open && !self.connections.borrow().has_idle(id) {
                 spawn_local(self.clone().warm(id.clone(), replica.entry.address));
             }
         }
@@ -204,6 +205,16 @@
         me.is_some_and(|me| largest.contains(&me.address))
     }
 
+    /// Whether this node itself sends to the replicas of a failure domain: to those of its own,
+    /// and of others where no relay is.
+    ///
+    /// Guards against a start of all nodes at once while replicas still hold the connections of
+    /// the processes before: eight new ones to each replica were reset in their hundreds, and
+    /// requests with them.
+    fn is_own(&self, domain: &str) -> bool {
+        *domain == self.settings().failure_domain || !self.relays.has_relay(domain)
+    }
+
     /// Makes a connection to a replica before the first request needs it.
     ///
     /// The handshake takes a replica up to 6 ms, a seventh of the shortest latency goal; a new
