--- /dev/null
+++ b/crates/sassafrasproxy-soak/src/fleet.rs
@@ -0,0 +1,193 @@
+//! The processes and stand-ins of a soak, and how faults are played on them.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use eyre::Result;
+use nix::sys::signal::Signal;
+use sassafrasproxy_platform_standin::{
+    Behavior, GatewayProcess, ReplicaStandIn, StoreMode, StoreStandIn,
+};
+use serde_json::{Value, json};
+
+use crate::plan::Fault;
+
+/// How many shards the gathered route has; two replicas each, and two of the single service.
+pub const SHARDS: usize = 4;
+
+/// How many replicas there are.
+pub const REPLICAS: usize = 2 * SHARDS + 2;
+
+/// How long a slow replica takes, in milliseconds.
+const SLOW_MS: u64 = 80;
+
+/// Where each gateway serves callers at the moment.
+pub type Addresses = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// Everything that runs.
+pub struct Fleet {
+    binary: PathBuf,
+    store: StoreStandIn,
+    pub replicas: Vec<ReplicaStandIn>,
+    gateways: Vec<GatewayProcess>,
+    addresses: Addresses,
+    version: u64,
+    broken: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts the gateways over sound replicas and waits until all know the configuration.
+    pub async fn start(binary: &Path, nodes: usize) -> Result<Self> {
+        let replicas = (0..REPLICAS).map(|at| {
+            let service = if at < 2 * SHARDS { format!("shard-{}", at / 2) } else { "desk".into() };
+            ReplicaStandIn::start(&format!("r{at}"), &service, record(at as u8))
+        });
+        let mut fleet = Self {
+            binary: binary.to_path_buf(),
+            store: StoreStandIn::start(),
+            replicas: replicas.collect(),
+            gateways: Vec::new(),
+            addresses: Arc::default(),
+            version: 0,
+            broken: Vec::new(),
+        };
+        fleet.configure();
+        for at in 0..REPLICAS {
+            fleet.register(at, "ready");
+        }
+        for at in 0..nodes {
+            let gateway = fleet.start_gateway(at)?;
+            fleet.addresses.lock().unwrap().push(gateway.callers());
+            fleet.gateways.push(gateway);
+        }
+        for gateway in &fleet.gateways {
+            gateway.wait_for_line("a configuration is in force")?;
+        }
+        Ok(fleet)
+    }
+
+    /// Where the gateways serve callers, kept up to date.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses.clone()
+    }
+
+    /// What was seen to be wrong with the processes themselves.
+    pub fn broken(&self) -> Vec<String> {
+        let mut broken = self.broken.clone();
+        for gateway in &self.gateways {
+            let versions: Vec<u64> = gateway
+                .lines()
+                .iter()
+                .filter(|line| line["message"] == "a configuration is in force")
+                .filter_map(|line| line["version"].as_u64())
+                .collect();
+            if !versions.is_sorted() {
+                broken.push(format!("a configuration went back: {versions:?}"));
+            }
+        }
+        broken
+    }
+
+    /// Plays one fault.
+    pub async fn play(&mut self, fault: &Fault) -> Result<()> {
+        match *fault {
+            Fault::Kill(at) => {
+                self.gateways[at].signal(Signal::SIGKILL)?;
+                self.restart(at)?;
+            }
+            Fault::Pause(at) => self.gateways[at].signal(Signal::SIGSTOP)?,
+            Fault::Resume(at) => self.gateways[at].signal(Signal::SIGCONT)?,
+            Fault::Terminate(at) => {
+                // A process that stands still cannot end by itself.
+                self.gateways[at].signal(Signal::SIGCONT)?;
+                self.gateways[at].signal(Signal::SIGTERM)?;
+                let status = self.gateways[at].wait()?;
+                if !status.success() {
+                    self.broken.push(format!("gateway {at} ended with {status} after SIGTERM"));
+                }
+                self.restart(at)?;
+            }
+            Fault::Hangup(at) => self.gateways[at].signal(Signal::SIGHUP)?,
+            Fault::ReplicaSlow(at) => self.replicas[at].set(Behavior::Answering(SLOW_MS)),
+            Fault::ReplicaFails(at) => self.replicas[at].set(Behavior::Failing),
+            Fault::ReplicaSheds(at) => self.replicas[at].set(Behavior::Shedding),
+            Fault::ReplicaSilent(at) => self.replicas[at].set(Behavior::Silent),
+            Fault::ReplicaCrosses(at) => self.replicas[at].set(Behavior::Crossed),
+            Fault::ReplicaSound(at) => self.replicas[at].set(Behavior::Answering(0)),
+            Fault::ReplicaDrains(at) => self.register(at, "draining"),
+            Fault::ReplicaUnlisted(at) => self.store.remove(&format!("servers/r{at}")),
+            Fault::ReplicaListed(at) => self.register(at, "ready"),
+            Fault::Configure => self.configure(),
+            Fault::StoreRefuses => self.store.set_mode(StoreMode::Refusing(503)),
+            Fault::StoreSilent => self.store.set_mode(StoreMode::Silent),
+            Fault::StoreLosesAnswers => self.store.set_mode(StoreMode::LosingAnswers),
+            Fault::StoreForgets => self.store.forget(),
+            Fault::StoreSound => self.store.set_mode(StoreMode::Up),
+        }
+        Ok(())
+    }
+
+    /// Ends every pause, so that all processes can end.
+    pub fn heal(&mut self) -> Result<()> {
+        self.gateways.iter().try_for_each(|gateway| gateway.signal(Signal::SIGCONT))
+    }
+
+    fn restart(&mut self, at: usize) -> Result<()> {
+        self.gateways[at].wait()?;
+        let gateway = self.start_gateway(at)?;
+        self.addresses.lock().unwrap()[at] = gateway.callers();
+        self.gateways[at] = gateway;
+        Ok(())
+    }
+
+    fn start_gateway(&self, at: usize) -> Result<GatewayProcess> {
+        let seeds: Vec<SocketAddr> = self.gateways.iter().map(GatewayProcess::peers).collect();
+        let domain = ["west", "east"][at % 2];
+        let store = self.store.address();
+        GatewayProcess::start(&self.binary, &format!("vm-{at}"), domain, store, &seeds)
+    }
+
+    fn register(&self, at: usize, state: &str) {
+        self.replicas[at].register(&self.store, ["west", "east"][at % 2], state);
+    }
+
+    fn configure(&mut self) {
+        self.version += 2;
+        let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
+        let route = |name: &str, prefix: &str, kind: &str, more: Value| {
+            let mut route = json!({
+                "name": name, "host": "soak.example", "prefix": prefix, "route_type": kind,
+                "timeout_ms": 600, "latency_goal_ms": 200, "priority": 1, "max_attempts": 2,
+            });
+            route.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+            route
+        };
+        let gather = json!({ "gather": shards, "top_k": 2, "min_coverage": 0.5 });
+        let services: Vec<Value> = shards
+            .iter()
+            .map(String::as_str)
+            .chain(["desk"])
+            .map(|name| json!({ "name": name, "health_path": "/health", "max_connections": 64 }))
+            .collect();
+        let configuration = json!({
+            "version": self.version,
+            "routes": [
+                route("all", "/all/", "idempotent", gather),
+                route("one", "/one/", "idempotent", json!({ "service": "desk" })),
+                route("order", "/order/", "non_idempotent", json!({ "service": "desk" })),
+            ],
+            "services": services,
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+        });
+        self.store.put("op/config", configuration.to_string());
+    }
+}
+
+/// The record that a replica's shard holds: both replicas of a shard have the same.
+pub fn record(replica: u8) -> Vec<u8> {
+    vec![replica / 2 + 1; 16]
+}
--- /dev/null
+++ b/crates/sassafrasproxy-soak/src/plan.rs
@@ -0,0 +1,113 @@
+//! The faults of a soak, drawn from its seed.
+
+use std::fmt::{self, Display, Formatter};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::SoakSettings;
+
+/// Faults a second, on the average.
+const FAULTS_PER_S: f64 = 2.5;
+
+/// All faults in order.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    seed: u64,
+    /// Each with the time from the start.
+    pub steps: Vec<Step>,
+}
+
+/// One fault at a time.
+#[derive(Debug, Clone)]
+pub struct Step {
+    /// From the start.
+    pub at: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// What happens; gateways and replicas by number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway is killed and starts again.
+    Kill(usize),
+    /// A gateway stands still or goes on.
+    Pause(usize),
+    Resume(usize),
+    /// A gateway is told to end, and starts again once it has.
+    Terminate(usize),
+    /// A gateway is told that its settings changed.
+    Hangup(usize),
+    /// A replica answers late, fails, sheds, falls silent, answers others' requests, or is sound.
+    ReplicaSlow(usize),
+    ReplicaFails(usize),
+    ReplicaSheds(usize),
+    ReplicaSilent(usize),
+    ReplicaCrosses(usize),
+    ReplicaSound(usize),
+    /// A replica says that it leaves, is not listed any more, or is listed.
+    ReplicaDrains(usize),
+    ReplicaUnlisted(usize),
+    ReplicaListed(usize),
+    /// A new configuration is written.
+    Configure,
+    /// The store refuses, falls silent, loses its answers, forgets its history, or is sound.
+    StoreRefuses,
+    StoreSilent,
+    StoreLosesAnswers,
+    StoreForgets,
+    StoreSound,
+}
+
+impl Plan {
+    /// Draws the plan of a seed.
+    pub fn draw(settings: SoakSettings) -> Self {
+        let mut rng = StdRng::seed_from_u64(settings.seed);
+        let end_ms = settings.seconds * 1_000;
+        let mut steps = Vec::new();
+        let mut at_ms = 0;
+        loop {
+            at_ms += rng.random_range(1..=(2_000.0 / FAULTS_PER_S) as u64);
+            if at_ms >= end_ms {
+                return Self { seed: settings.seed, steps };
+            }
+            let node = rng.random_range(0..settings.nodes);
+            let replica = rng.random_range(0..crate::fleet::REPLICAS);
+            let fault = match rng.random_range(0..26) {
+                0 => Fault::Kill(node),
+                1 => Fault::Pause(node),
+                2 | 3 => Fault::Resume(node),
+                4 => Fault::Terminate(node),
+                5 => Fault::Hangup(node),
+                6 => Fault::ReplicaSlow(replica),
+                7 => Fault::ReplicaFails(replica),
+                8 => Fault::ReplicaSheds(replica),
+                9 => Fault::ReplicaSilent(replica),
+                10 => Fault::ReplicaCrosses(replica),
+                11..=14 => Fault::ReplicaSound(replica),
+                15 => Fault::ReplicaDrains(replica),
+                16 => Fault::ReplicaUnlisted(replica),
+                17 | 18 => Fault::ReplicaListed(replica),
+                19 => Fault::Configure,
+                20 => Fault::StoreRefuses,
+                21 => Fault::StoreSilent,
+                22 => Fault::StoreLosesAnswers,
+                23 => Fault::StoreForgets,
+                _ => Fault::StoreSound,
+            };
+            steps.push(Step { at: Duration::from_millis(at_ms), fault });
+        }
+    }
+}
+
+impl Display for Plan {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "seed {}:", self.seed)?;
+        for step in &self.steps {
+            write!(f, " {}ms {:?}", step.at.as_millis(), step.fault)?;
+        }
+        Ok(())
+    }
+}
