--- a/crates/sassafrasproxy-config/src/gateway.rs
+++ b/crates/sassafrasproxy-config/src/gateway.rs
@@ -8,7 +8,7 @@
 use serde_saphyr::{Location, Spanned};
 
 use crate::Problem;
-use crate::problem::read_yaml;
+use crate::problem::{read_text, read_yaml};
 
 /// What to do about a settings file that cannot be read.
 const HINT: &str = "see docs/OPERATIONS.md for the fields of a gateway's settings";
@@ -102,10 +102,7 @@
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, Problem> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            Problem::whole(&file, error.to_string(), "name a file that can be read")
-        })?;
-        Self::parse(&file, &text)
+        Self::parse(&file, &read_text(path)?)
     }
 
     /// Checks the text of a settings file; `file` is its name in problems.
--- a/crates/sassafrasproxy-config/src/problem.rs
+++ b/crates/sassafrasproxy-config/src/problem.rs
@@ -1,5 +1,7 @@
 //! What is wrong with a file, where, and how to mend it.
 
+use std::path::Path;
+
 use ecow::{EcoString, eco_format};
 use serde::de::DeserializeOwned;
 use serde_saphyr::Location;
@@ -40,6 +42,14 @@
     }
 }
 
+/// Reads a settings file as text.
+pub(crate) fn read_text(path: &Path) -> Result<String, Problem> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let file = path.display().to_string();
+        Problem::whole(&file, error.to_string(), "name a file that can be read")
+    })
+}
+
 /// Reads YAML, with the parser's own words for what is wrong with it.
 pub(crate) fn read_yaml<T: DeserializeOwned>(
     file: &str,
--- a/crates/sassafrasproxy-config/src/settings.rs
+++ b/crates/sassafrasproxy-config/src/settings.rs
@@ -9,7 +9,7 @@
 
 use crate::Problem;
 use crate::gateway::{address, between, filled};
-use crate::problem::read_yaml;
+use crate::problem::{read_text, read_yaml};
 
 /// How long callers keep an address list when the settings do not say, in milliseconds.
 const DEFAULT_ADDRESS_KEEP_MS: u64 = 10_000;
@@ -68,10 +68,7 @@
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, Problem> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            Problem::whole(&file, error.to_string(), "name a file that can be read")
-        })?;
-        Self::parse(&file, &text)
+        Self::parse(&file, &read_text(path)?)
     }
 
     /// Checks the text of a settings file; `file` is its name in problems.
--- a/crates/sassafrasproxy-core/src/forward/discovery.rs
+++ b/crates/sassafrasproxy-core/src/forward/discovery.rs
@@ -1,73 +1,20 @@
 //! What a node knows of configuration, replicas and fellow nodes, from the store or from peers.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use ecow::EcoString;
 use indexmap::{IndexMap, IndexSet};
-use sassafrasproxy_wire::{
-    CallerLimits, MemberUpdate, ReplicaEntry, RouteConfiguration, RoutedService,
-};
-use serde::{Deserialize, Serialize};
+use sassafrasproxy_wire::{ReplicaEntry, RouteConfiguration, RoutedService};
 
-use crate::RouteTable;
+use super::facts::ChangeLog;
+use crate::{
+    Catalogue, CatalogueReplica, Fact, FactChanges, NodeRegistration, RouteTable, Subject,
+};
 
 /// How long after the store's return a replica whose entry lapsed may take to be back, in
 /// microseconds: the store's operators promise about two seconds.
 const REGISTER_AGAIN_US: u64 = 2_200_000;
 
-/// How many changes are remembered for peers: some times as many as a fleet's replicas, so that
-/// a whole set of shards that comes and another that goes are still told as changes.
-const MAX_CHANGES: usize = 2_048;
-
-/// Something that stands in the store.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub enum Fact {
-    /// The newest configuration.
-    Configuration(RouteConfiguration),
-    /// A failure domain is out.
-    DomainOut(EcoString),
-    /// A replica's entry.
-    Replica(ReplicaEntry),
-    /// A node's registration.
-    Node(NodeRegistration),
-}
-
-/// What a node registers, so that others find it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct NodeRegistration {
-    /// The node as a member.
-    pub member: MemberUpdate,
-}
-
-/// What a fact is about.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(Serialize, Deserialize)]
-pub enum Subject {
-    /// The configuration.
-    Configuration,
-    /// Whether a failure domain is out.
-    DomainOut(EcoString),
-    /// A replica, by id.
-    Replica(EcoString),
-    /// A node, by name.
-    Node(EcoString),
-}
-
-impl Fact {
-    /// What the fact is about.
-    pub fn subject(&self) -> Subject {
-        match self {
-            Self::Configuration(_) => Subject::Configuration,
-            Self::DomainOut(domain) => Subject::DomainOut(domain.clone()),
-            Self::Replica(entry) => Subject::Replica(entry.id.clone()),
-            Self::Node(node) => Subject::Node(node.member.node.clone()),
-        }
-    }
-}
-
 /// What discovery takes in.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DiscoveryEvent {
@@ -155,32 +102,6 @@
     },
 }
 
-/// Everything that traffic needs to know, replaced as a whole.
-#[derive(Debug, Clone, Default)]
-pub struct Catalogue {
-    /// The version of the configuration; 0 before the first.
-    pub version: u64,
-    /// The configuration's routes.
-    pub routes: Arc<RouteTable>,
-    /// The configuration's services.
-    pub services: Arc<IndexMap<EcoString, RoutedService>>,
-    /// What callers may send.
-    pub caller_limits: CallerLimits,
-    /// The replicas that may be used, by id.
-    pub replicas: IndexMap<EcoString, CatalogueReplica>,
-}
-
-/// One replica of the catalogue.
-#[derive(Debug, Clone, PartialEq)]
-pub struct CatalogueReplica {
-    /// Its entry.
-    pub entry: Arc<ReplicaEntry>,
-    /// When this node took the entry in, in microseconds of the node's clock.
-    pub seen_us: u64,
-    /// Whether it may get new work.
-    pub is_open: bool,
-}
-
 #[derive(Debug, Clone)]
 struct KnownReplica {
     entry: Arc<ReplicaEntry>,
@@ -214,41 +135,12 @@
     changes: ChangeLog,
 }
 
-/// The subjects that changed lately, so that peers need not be told everything each time.
-#[derive(Debug, Default)]
-struct ChangeLog {
-    /// Oldest first, by the store's revision of the change.
-    changes: VecDeque<(u64, Subject)>,
-    /// The revision from which on the log is complete; `None` before the first list.
-    complete_after: Option<u64>,
-}
-
-/// What changed after a revision.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct FactChanges {
-    /// Facts that came or changed, each with its revision.
-    pub facts: Vec<(Fact, u64)>,
-    /// Subjects that are gone, each with the revision of its removal.
-    pub gone: Vec<(Subject, u64)>,
-}
-
-impl ChangeLog {
-    fn add(&mut self, revision: u64, subject: Subject) {
-        if self.changes.len() >= MAX_CHANGES {
-            let oldest = self.changes.pop_front().map(|(revision, _)| revision);
-            self.complete_after = self.complete_after.max(oldest);
-        }
-        self.changes.push_back((revision, subject));
-    }
-}
-
 impl Discovery {
     /// Takes one event in.
     pub fn step(&mut self, now_us: u64, event: DiscoveryEvent) {
         match event {
             DiscoveryEvent::ListStarted { revision } => {
-                self.changes = ChangeLog { complete_after: Some(revision), ..ChangeLog::default() };
+                self.changes = ChangeLog::complete_after(revision);
                 self.start_list();
             }
             DiscoveryEvent::Seen { fact, revision } => {
@@ -261,7 +153,7 @@
             }
             DiscoveryEvent::ListEnded => self.end_list(now_us),
             DiscoveryEvent::PeerFacts { facts, revision } => {
-                self.changes = ChangeLog { complete_after: Some(revision), ..ChangeLog::default() };
+                self.changes = ChangeLog::complete_after(revision);
                 self.hear_peer(now_us, facts, revision);
             }
             DiscoveryEvent::HoldUntil { until_us } => {
@@ -305,13 +197,8 @@
 
     /// What changed after a revision; `None` if that is not remembered.
     pub fn changes_after(&self, revision: u64) -> Option<FactChanges> {
-        if self.changes.complete_after? > revision {
-            return None;
-        }
-        let after = self.changes.changes.iter().filter(|(at, _)| *at > revision);
-        let subjects: IndexMap<&Subject, u64> = after.map(|(at, subject)| (subject, *at)).collect();
         let mut changes = FactChanges { facts: Vec::new(), gone: Vec::new() };
-        for (subject, at) in subjects {
+        for (subject, at) in self.changes.after(revision)? {
             match self.fact(subject) {
                 Some(fact) => changes.facts.push((fact, at)),
                 None => changes.gone.push((subject.clone(), at)),
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/facts.rs
@@ -0,0 +1,105 @@
+//! What can be known from the store, and what of it changed lately.
+
+use std::collections::VecDeque;
+
+use ecow::EcoString;
+use indexmap::IndexMap;
+use sassafrasproxy_wire::{MemberUpdate, ReplicaEntry, RouteConfiguration};
+use serde::{Deserialize, Serialize};
+
+/// How many changes are remembered for peers: some times as many as a fleet's replicas, so that
+/// a whole set of shards that comes and another that goes are still told as changes.
+const MAX_CHANGES: usize = 2_048;
+
+/// Something that stands in the store.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Fact {
+    /// The newest configuration.
+    Configuration(RouteConfiguration),
+    /// A failure domain is out.
+    DomainOut(EcoString),
+    /// A replica's entry.
+    Replica(ReplicaEntry),
+    /// A node's registration.
+    Node(NodeRegistration),
+}
+
+/// What a node registers, so that others find it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NodeRegistration {
+    /// The node as a member.
+    pub member: MemberUpdate,
+}
+
+/// What a fact is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub enum Subject {
+    /// The configuration.
+    Configuration,
+    /// Whether a failure domain is out.
+    DomainOut(EcoString),
+    /// A replica, by id.
+    Replica(EcoString),
+    /// A node, by name.
+    Node(EcoString),
+}
+
+impl Fact {
+    /// What the fact is about.
+    pub fn subject(&self) -> Subject {
+        match self {
+            Self::Configuration(_) => Subject::Configuration,
+            Self::DomainOut(domain) => Subject::DomainOut(domain.clone()),
+            Self::Replica(entry) => Subject::Replica(entry.id.clone()),
+            Self::Node(node) => Subject::Node(node.member.node.clone()),
+        }
+    }
+}
+
+/// The subjects that changed lately, so that peers need not be told everything each time.
+#[derive(Debug, Default)]
+pub struct ChangeLog {
+    /// Oldest first, by the store's revision of the change.
+    changes: VecDeque<(u64, Subject)>,
+    /// The revision from which on the log is complete; `None` before the first list.
+    complete_after: Option<u64>,
+}
+
+/// What changed after a revision.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct FactChanges {
+    /// Facts that came or changed, each with its revision.
+    pub facts: Vec<(Fact, u64)>,
+    /// Subjects that are gone, each with the revision of its removal.
+    pub gone: Vec<(Subject, u64)>,
+}
+
+impl ChangeLog {
+    /// An empty log that is complete after a revision.
+    pub fn complete_after(revision: u64) -> Self {
+        Self { changes: VecDeque::new(), complete_after: Some(revision) }
+    }
+
+    /// The subjects that changed after a revision, each with its last change; `None` if that is
+    /// not remembered.
+    pub fn after(&self, revision: u64) -> Option<IndexMap<&Subject, u64>> {
+        if self.complete_after? > revision {
+            return None;
+        }
+        let after = self.changes.iter().filter(|(at, _)| *at > revision);
+        Some(after.map(|(at, subject)| (subject, *at)).collect())
+    }
+
+    /// Notes a change.
+    pub fn add(&mut self, revision: u64, subject: Subject) {
+        if self.changes.len() >= MAX_CHANGES {
+            let oldest = self.changes.pop_front().map(|(revision, _)| revision);
+            self.complete_after = self.complete_after.max(oldest);
+        }
+        self.changes.push_back((revision, subject));
+    }
+}
--- a/crates/sassafrasproxy-core/src/forward/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -4,8 +4,10 @@
 //! (connections, extra sends) is split by their number.
 
 mod caller_delays;
+mod catalogue;
 mod directory;
 mod discovery;
+mod facts;
 mod fetch;
 mod gather;
 mod gossip;
@@ -17,11 +19,10 @@
 mod store_sync;
 
 pub use self::caller_delays::CallerDelays;
+pub use self::catalogue::{Catalogue, CatalogueReplica};
 pub use self::directory::{DirectoryNode, count_large, directory_addresses};
-pub use self::discovery::{
-    Catalogue, CatalogueReplica, Discovery, DiscoveryEvent, DiscoveryNote, Fact, FactChanges,
-    NodeRegistration, Subject,
-};
+pub use self::discovery::{Discovery, DiscoveryEvent, DiscoveryNote};
+pub use self::facts::{Fact, FactChanges, NodeRegistration, Subject};
 pub use self::fetch::{Fetch, FetchEnd, FetchFailure, FetchPlan, FetchStep, SendCause, TryResult};
 pub use self::gather::{GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step};
 pub use self::gossip::{Follow, Gossip, GossipPolicy, MemberNote, Newest, PeerDatagram, PeerSend};
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{Answer, Refusal, merged, refuse};
-use crate::relay_client::{RelaySpec, start_relayed};
+use crate::relayed::{RelaySpec, start_relayed};
 use crate::request::CallerRequest;
 use crate::traffic::Traffic;
 use crate::upstream::{SendEnd, SendSpec, Sends, start_send};
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -23,7 +23,7 @@
 use crate::metrics::OfKind;
 use crate::request::CallerRequest;
 use crate::traffic::Traffic;
-use crate::upstream::{SendEnd, SendSpec, Sends, UpstreamAnswer, is_failure, start_send};
+use crate::upstream::{SendEnd, SendSpec, Sends, start_send};
 
 /// How long a part that has ended waits for others, to share a reply and its merge.
 ///
@@ -224,15 +224,13 @@
     for (shard, end) in ended {
         let reported = end.reported();
         let end = match end {
-            SendEnd::Answered(answer) if answer.status.is_success() => match answer {
-                UpstreamAnswer { head, body, .. } if head.stamp.is_some() => {
-                    bodies.push(body);
-                    RelayEnd::Answered { stamp: head.stamp.unwrap_or_default() }
+            SendEnd::Answered(answer) => match answer.head.stamp {
+                Some(stamp) if answer.status.is_success() => {
+                    bodies.push(answer.body);
+                    RelayEnd::Answered { stamp }
                 }
-                UpstreamAnswer { .. } => RelayEnd::Lost,
+                _ => RelayEnd::Faulty,
             },
-            SendEnd::Answered(answer) if is_failure(answer.status) => RelayEnd::Faulty,
-            SendEnd::Answered(_) => RelayEnd::Faulty,
             SendEnd::NotRun => RelayEnd::NotRun,
             SendEnd::Misdirected => RelayEnd::Misdirected,
             SendEnd::Unsent => RelayEnd::Unsent,
--- a/crates/sassafrasproxy-gateway/src/relay_client.rs
+++ b/crates/sassafrasproxy-gateway/src/relays.rs
@@ -1,4 +1,4 @@
-//! Asking relays in other failure domains for the parts of a query.
+//! The relays in other failure domains, and the connections to them.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -12,35 +12,21 @@
 use indexmap::IndexMap;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    Catalogue, CatalogueReplica, DirectoryNode, PoolSettings, SendId, SendOutcome, TryResult,
-    UpstreamPool,
-};
-use sassafrasproxy_wire::{
-    MemberState, RelayAsk, RelayEnd, RelayPart, RelayReply, RelayRequest, ReplicaEntry,
+    Catalogue, CatalogueReplica, DirectoryNode, PoolSettings, SendId, SendOutcome, UpstreamPool,
 };
+use sassafrasproxy_wire::{MemberState, RelayAsk, RelayReply, RelayRequest, ReplicaEntry};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::request::CallerRequest;
-use crate::traffic::Traffic;
-use crate::upstream::NotedSend;
-
 /// How long a connection to a relay may take: some round trips between failure domains.
 const CONNECT_LIMIT: Duration = Duration::from_millis(100);
 
 /// How many asks a relay may have of this node at once; far above what a node serves at once.
 const MAX_ASKS: u32 = 1_000;
 
-/// How much later than a send of its own an ask of a relay counts as stalled, in microseconds:
-/// the relay holds replies back for 3 ms so that parts share them, and its slowest part counts.
-const RELAY_SLACK_US: u64 = 15_000;
-
-/// How long past its deadline an ask is waited for, in microseconds.
-const REPLY_MARGIN_US: u64 = 60_000;
-
 /// All relays that this node may ask, and its connections to them.
 pub struct Relays {
     /// Each relay as a replica of the failure domain that it is in.
@@ -205,162 +191,6 @@
     }
 }
 
-/// What an ask needs.
-pub struct RelaySpec {
-    /// The caller's request.
-    pub request: Rc<CallerRequest>,
-    /// The route, for its latencies.
-    pub route: EcoString,
-    /// The relay.
-    pub relay: EcoString,
-    /// The sends that it makes: shard, replica, and the send as the pool knows it.
-    pub sends: Vec<(usize, Arc<ReplicaEntry>, SendId)>,
-    /// How many of the greatest records the answer needs.
-    pub top_k: usize,
-    /// When the replicas stop, in microseconds.
-    pub end_us: u64,
-    /// The usual time of a send, in microseconds.
-    pub expected_us: u64,
-    /// After which the relay counts as stalled, in microseconds.
-    pub patience_us: u64,
-}
-
-/// Starts an ask in a task of its own, which tells the ends of its sends as they come.
-pub fn start_relayed(
-    traffic: &Rc<Traffic>,
-    spec: RelaySpec,
-    tell: impl Fn(Vec<(usize, TryResult, Option<EcoString>)>, Bytes) + 'static,
-) -> AbortHandle {
-    let traffic = traffic.clone();
-    spawn_local(async move {
-        let started_us = traffic.clock.now_us();
-        let mut open: IndexMap<usize, NotedSend> = spec
-            .sends
-            .iter()
-            .map(|(shard, replica, send)| {
-                (*shard, NotedSend::new(&traffic, replica.id.clone(), *send))
-            })
-            .collect();
-        let patience_us = spec.patience_us + RELAY_SLACK_US;
-        let ask = traffic.relays.start(&spec.relay, started_us, spec.expected_us, patience_us);
-        let mut noted = NotedAsk {
-            traffic: traffic.clone(),
-            relay: spec.relay.clone(),
-            send: ask.unwrap_or(0),
-            outcome: SendOutcome::Cancelled,
-        };
-        let left_us = spec.end_us.saturating_sub(started_us);
-        let limit = Duration::from_micros(left_us + REPLY_MARGIN_US);
-        let exchange = exchange(&traffic, &spec, left_us, &mut open, &tell);
-        noted.outcome = match timeout(limit, exchange).await {
-            Ok(Ok(())) => SendOutcome::Answered,
-            Ok(Err(error)) => {
-                let (request, relay) = (&spec.request.attempt_id, &spec.relay);
-                log::info!(request:%, relay:%, error:%; "a relay failed");
-                SendOutcome::Unreachable
-            }
-            Err(_) => SendOutcome::Lost,
-        };
-        let is_sent = noted.outcome == SendOutcome::Lost;
-        drop(noted);
-        if open.is_empty() {
-            return;
-        }
-        // Whether the replicas ran what a lost relay was asked for is not known.
-        let result = if is_sent { TryResult::MayHaveRun } else { TryResult::Unsent };
-        tell(open.keys().map(|shard| (*shard, result, None)).collect(), Bytes::new());
-    })
-    .abort_handle()
-}
-
-/// Tells the pool of relays how an ask ended, also when its task is aborted.
-struct NotedAsk {
-    traffic: Rc<Traffic>,
-    relay: EcoString,
-    send: SendId,
-    outcome: SendOutcome,
-}
-
-impl Drop for NotedAsk {
-    fn drop(&mut self) {
-        let now_us = self.traffic.clock.now_us();
-        self.traffic.relays.finish(&self.relay, self.send, now_us, self.outcome);
-    }
-}
-
-/// Asks the relay and passes its replies on until every send has ended.
-async fn exchange(
-    traffic: &Rc<Traffic>,
-    spec: &RelaySpec,
-    left_us: u64,
-    open: &mut IndexMap<usize, NotedSend>,
-    tell: &impl Fn(Vec<(usize, TryResult, Option<EcoString>)>, Bytes),
-) -> eyre::Result<()> {
-    let started_us = traffic.clock.now_us();
-    let mut ask = traffic.relays.ask(&spec.relay, relay_ask(spec, left_us)).await?;
-    while !open.is_empty() {
-        let Some(reply) = ask.next().await else {
-            // The connection ended after the ask: the replicas may run it.
-            let lost = open.drain(..).map(|(shard, noted)| {
-                noted.end(SendOutcome::Cancelled, None);
-                (shard, TryResult::MayHaveRun, None)
-            });
-            tell(lost.collect(), Bytes::new());
-            eyre::bail!("the connection ended");
-        };
-        let took_us = traffic.clock.now_us() - started_us;
-        let mut parts = Vec::with_capacity(reply.parts.len());
-        for part in reply.parts {
-            let Some(noted) = open.swap_remove(&part.shard) else { continue };
-            let (outcome, result, stamp) = meaning(part.end);
-            noted.end(outcome, part.reported);
-            if result == TryResult::Answered {
-                traffic.note_latency(&spec.route, took_us);
-            }
-            parts.push((part.shard, result, stamp));
-        }
-        tell(parts, Bytes::from(reply.records));
-    }
-    ask.finish();
-    Ok(())
-}
-
-/// What a relay's end of a send means for the replica, for the fetch, and its signature.
-fn meaning(end: RelayEnd) -> (SendOutcome, TryResult, Option<EcoString>) {
-    match end {
-        RelayEnd::Answered { stamp } => (SendOutcome::Answered, TryResult::Answered, Some(stamp)),
-        RelayEnd::Faulty => (SendOutcome::Faulty, TryResult::MayHaveRun, None),
-        RelayEnd::NotRun => (SendOutcome::Refused, TryResult::NotRun, None),
-        RelayEnd::Misdirected => (SendOutcome::Misdirected, TryResult::Unsent, None),
-        RelayEnd::Unsent => (SendOutcome::Unreachable, TryResult::Unsent, None),
-        RelayEnd::Lost => (SendOutcome::Lost, TryResult::MayHaveRun, None),
-    }
-}
-
-fn relay_ask(spec: &RelaySpec, left_us: u64) -> RelayAsk {
-    let request = &spec.request;
-    let headers = request.headers.iter();
-    let headers = headers.map(|(name, value)| (name.as_str().into(), value.as_bytes().to_vec()));
-    let parts = spec.sends.iter().map(|(shard, replica, _)| RelayPart {
-        shard: *shard,
-        replica: replica.id.clone(),
-        service: replica.service.clone(),
-        address: replica.address,
-    });
-    RelayAsk {
-        id: 0,
-        attempt_id: request.attempt_id.clone(),
-        route: spec.route.clone(),
-        method: request.method.as_str().into(),
-        uri: ecow::eco_format!("{}", request.uri),
-        headers: headers.collect(),
-        body: request.body.to_vec(),
-        left_us,
-        top_k: spec.top_k,
-        parts: parts.collect(),
-    }
-}
-
 /// Carries requests and replies until the connection ends or nobody uses it any more.
 async fn run_link(
     stream: TcpStream,
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -20,7 +20,7 @@
 
 use crate::connections::{Connections, connect};
 use crate::metrics::{GatewayMetrics, OfKind};
-use crate::relay_client::Relays;
+use crate::relays::Relays;
 use crate::view::GatewayView;
 
 /// How many nodes are counted on before any is known, for each node's share of what all share.
