Refuse requests that crash replicas, on all nodes

Cause: a request that takes down each replica that runs it was sent on whenever its caller sent it again: 8 runs in 15 attempts 0.3 s apart to three nodes in turn, as many as two replicas that are back after a second allow. Now a connection that breaks off under a request while new ones are refused counts as a death, all nodes hear of it at once, and from the third on the request is refused as not run. Ruled out: counting broken connections alone, which answers lost on their way cause, too.

--- /dev/null
+++ b/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
@@ -0,0 +1,38 @@
+//! A request that crashes the replicas that run it.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway;
+
+use std::time::Duration;
+
+use sassafrasproxy_platform_standin::Behavior;
+
+use crate::gateway::System;
+
+/// One request takes down each replica that runs it, and its caller sends it again, to three
+/// nodes in turn. From its third death on, no node may send it to a replica; other requests for
+/// the same service are served as soon as the replicas are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn sent_again() {
+    let system = System::start(3).await;
+    let runs = || ["da", "db"].iter().map(|id| system.replica(id).runs().len()).sum::<usize>();
+    let before = runs();
+    for attempt in 0..15 {
+        for id in ["da", "db"] {
+            system.replica(id).set(Behavior::Crashing);
+        }
+        let answer = system.ask(attempt % 3, "/desk/poison").await;
+        assert_ne!(answer.status, 200);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let deaths = runs() - before;
+    assert!(deaths <= 4, "{deaths} runs of the request");
+    for id in ["da", "db"] {
+        system.replica(id).set(Behavior::Answering(0));
+    }
+    for at in 0..3 {
+        system.ask_until(at, "/desk/7", |answer| answer.status == 200).await;
+        assert_eq!(system.ask(at, "/desk/poison").await.status, 503);
+    }
+}
--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::MemberChange;
-use crate::{DirectoryNode, Member, MemberTable};
+use crate::{CrashReport, DirectoryNode, Member, MemberTable};
 
 /// Times and counts of the heartbeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +49,10 @@
     }
 }
 
+/// How many datagrams carry a report of a crash: all peers of a large fleet once, and some more,
+/// as datagrams get lost.
+const CRASH_REPEATS: u32 = 80;
+
 /// One datagram between nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -61,6 +65,9 @@
     pub newest: Newest,
     /// Whether the store turns the sender away.
     pub is_store_away: bool,
+    /// Deaths of replicas under requests that the sender saw lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// The newest revision of the store that anybody was heard to follow to.
@@ -125,6 +132,8 @@
     /// Never below `store_revision`.
     newest: Newest,
     notes: Vec<MemberNote>,
+    /// Reports that still go along with heartbeats, and how many heartbeats more.
+    crashes: IndexMap<CrashReport, u32>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -154,6 +163,7 @@
             is_store_away: false,
             newest: Newest::default(),
             notes: Vec::new(),
+            crashes: IndexMap::new(),
         };
         gossip.seeds.swap_remove(&me.peer_address);
         gossip
@@ -238,6 +248,14 @@
         peers.into_iter().map(|to| self.send(to, false)).collect()
     }
 
+    /// Tells all peers at once that a replica died under a request; heartbeats repeat it.
+    pub fn report_crash(&mut self, report: CrashReport) -> Vec<PeerSend> {
+        self.crashes.insert(report, CRASH_REPEATS);
+        let peers: Vec<EcoString> =
+            self.members.peers().map(|peer| peer.peer_address.clone()).collect();
+        peers.into_iter().map(|to| self.send(to, false)).collect()
+    }
+
     /// The changes of members since the last call.
     pub fn take_notes(&mut self) -> Vec<MemberNote> {
         std::mem::take(&mut self.notes)
@@ -340,7 +358,12 @@
             hlc: Hlc::default(),
         };
         let (newest, is_store_away) = (self.newest.clone(), self.is_store_away);
-        let datagram = PeerDatagram { is_reply, heartbeat, newest, is_store_away };
+        let crashes = self.crashes.keys().copied().collect();
+        self.crashes.retain(|_, left| {
+            *left = left.saturating_sub(1);
+            *left > 0
+        });
+        let datagram = PeerDatagram { is_reply, heartbeat, newest, is_store_away, crashes };
         PeerSend { peer_address, datagram }
     }
 }
--- a/crates/sassafrasproxy-gateway/src/answer.rs
+++ b/crates/sassafrasproxy-gateway/src/answer.rs
@@ -24,6 +24,8 @@
     TooLarge,
     /// No configuration is known yet.
     NoConfiguration,
+    /// It ran nowhere, as it has crashed replicas before.
+    CrashesReplicas,
     /// It ran nowhere, and may be sent again.
     NotRun,
     /// It may have run, and no answer came in time.
@@ -40,6 +42,7 @@
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::NoConfiguration => "no_configuration",
+            Self::CrashesReplicas => "crashes_replicas",
             Self::NotRun => "not_run",
             Self::TimedOut => "timed_out",
             Self::Lost => "lost",
@@ -51,7 +54,9 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoConfiguration | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::CrashesReplicas | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
         }
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -7,11 +7,13 @@
 
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
-use sassafrasproxy_core::{Discovery, DiscoveryEvent, DiscoveryNote, Gossip, GossipPolicy};
+use sassafrasproxy_core::{
+    CrashReport, Discovery, DiscoveryEvent, DiscoveryNote, Gossip, GossipPolicy,
+};
 use sassafrasproxy_platform::StoreError;
 use sassafrasproxy_wire::MemberUpdate;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -50,6 +52,10 @@
     pub view: watch::Sender<GatewayView>,
     /// Turns true when the process begins to leave.
     pub leaving: watch::Receiver<bool>,
+    /// Deaths that the traffic thread saw.
+    pub crashes_seen: mpsc::UnboundedReceiver<CrashReport>,
+    /// Where the traffic thread hears of deaths that peers saw.
+    pub crashes_heard: mpsc::UnboundedSender<CrashReport>,
 }
 
 /// Everything that the control thread's tasks share.
@@ -96,7 +102,8 @@
         spawn_local(pull_facts(state.clone()));
         spawn_local(tick(state.clone()));
         spawn_local(reload::follow_file(start.settings_file, state.settings.clone()));
-        peers::run(state, heartbeats, start.leaving).await;
+        let crashes = peers::Crashes { seen: start.crashes_seen, heard: start.crashes_heard };
+        peers::run(state, heartbeats, start.leaving, crashes).await;
         Ok(())
     })
 }
--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -22,6 +22,10 @@
 /// A node that starts has read the store after about 100 ms.
 const NO_CONFIGURATION_RETRY_MS: u64 = 200;
 
+/// When a request that crashes replicas may come back, in milliseconds: when the reports on it
+/// have expired.
+const CRASHES_RETRY_MS: u64 = 30_000;
+
 /// Serves one request.
 pub async fn serve(traffic: Rc<Traffic>, request: Request<Incoming>) -> Result<Answer, Infallible> {
     traffic.active.set(traffic.active.get() + 1);
@@ -29,8 +33,11 @@
     let mut answer = match answer(&traffic, request).await {
         Ok(answer) => answer,
         Err(refusal) => {
-            let retry_after_ms =
-                (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
+            let retry_after_ms = match refusal {
+                Refusal::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
+                Refusal::CrashesReplicas => Some(CRASHES_RETRY_MS),
+                _ => None,
+            };
             refuse(&traffic.metrics, refusal, retry_after_ms)
         }
     };
@@ -76,6 +83,10 @@
         .deadline_ms
         .map_or(0, |deadline_ms| traffic.delays.borrow_mut().note(&route.name, deadline_ms));
     let request = Rc::new(CallerRequest::new(head, parts, body, arrived_us, gone_us));
+    if traffic.crashes_replicas(request.fingerprint) {
+        log::info!(request:% = attempt_id, route:% = route.name; "the request crashes replicas");
+        return Err(Refusal::CrashesReplicas);
+    }
     let answer = match &route.target {
         RouteTarget::Service(service) => {
             single::serve(traffic, request, &route, service.clone()).await
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -98,6 +98,8 @@
         let metrics_values = Arc::new(GatewayMetrics::new());
         let (view_sender, views) = watch::channel(GatewayView::default());
         let (leave, leaving) = watch::channel(false);
+        let (crashes, crashes_seen) = mpsc::unbounded_channel();
+        let (crashes_heard, heard) = mpsc::unbounded_channel();
         let (settings, settings_changes) = watch::channel(self.settings.clone());
         let Sockets { callers, ready, directory, metrics, relay, facts, heartbeats } = self.sockets;
         let start = ControlStart {
@@ -108,6 +110,8 @@
             heartbeats,
             facts,
             metrics: metrics_values.clone(),
+            crashes_seen,
+            crashes_heard,
             view: view_sender,
             leaving,
         };
@@ -118,9 +122,11 @@
         })?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, async {
-            let traffic = Rc::new(Traffic::new(clock, self.settings, metrics_values, address));
+            let traffic =
+                Rc::new(Traffic::new(clock, self.settings, metrics_values, address, crashes));
             spawn_local(traffic.clone().follow(views));
             spawn_local(traffic.clone().follow_settings(settings_changes));
+            spawn_local(traffic.clone().follow_crashes(heard));
             let (stop, stopping) = watch::channel(false);
             let serving = Serving { traffic: traffic.clone(), stopping };
             serving.spawn(callers, caller_limits, front::serve)?;
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -235,6 +235,7 @@
             replica: far.replica,
             send: far.send,
             end_us: self.plan.end_us,
+            is_one_of_many: true,
         };
         let (ends, shard) = (self.ends.clone(), far.shard);
         let tell = move |end| {
--- a/crates/sassafrasproxy-gateway/src/peers.rs
+++ b/crates/sassafrasproxy-gateway/src/peers.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sassafrasproxy_core::{GossipPolicy, PeerDatagram, PeerSend};
+use sassafrasproxy_core::{CrashReport, GossipPolicy, PeerDatagram, PeerSend};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::control::ControlState;
@@ -14,8 +14,19 @@
 /// The largest datagram that is read, in bytes; news are few and short.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 
+/// Reports of replicas that died under requests, from and to the traffic thread.
+pub struct Crashes {
+    pub seen: mpsc::UnboundedReceiver<CrashReport>,
+    pub heard: mpsc::UnboundedSender<CrashReport>,
+}
+
 /// Sends and hears heartbeats until the process ends.
-pub async fn run(state: Rc<ControlState>, socket: UdpSocket, mut leaving: watch::Receiver<bool>) {
+pub async fn run(
+    state: Rc<ControlState>,
+    socket: UdpSocket,
+    mut leaving: watch::Receiver<bool>,
+    mut crashes: Crashes,
+) {
     let mut ticks = interval(Duration::from_micros(GossipPolicy::default().tick_us));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -24,13 +35,14 @@
         let sends = tokio::select! {
             _ = ticks.tick() => state.gossip.borrow_mut().tick(now_us),
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => hear(&state, &buffer[..length], from),
+                Ok((length, from)) => hear(&state, &buffer[..length], from, &crashes.heard),
                 // An earlier datagram came back as refused; the member's silence will tell.
                 Err(error) => {
                     log::debug!(error:%; "a datagram failed");
                     Vec::new()
                 }
             },
+            Some(report) = crashes.seen.recv() => state.gossip.borrow_mut().report_crash(report),
             Ok(()) = leaving.changed() => state.gossip.borrow_mut().leave(now_us),
         };
         for send in sends {
@@ -41,7 +53,12 @@
 }
 
 /// Takes a datagram in, and returns the answer if it is owed one.
-fn hear(state: &ControlState, bytes: &[u8], from: SocketAddr) -> Vec<PeerSend> {
+fn hear(
+    state: &ControlState,
+    bytes: &[u8],
+    from: SocketAddr,
+    crashes: &mpsc::UnboundedSender<CrashReport>,
+) -> Vec<PeerSend> {
     let datagram: PeerDatagram = match serde_json::from_slice(bytes) {
         Ok(datagram) => datagram,
         Err(error) => {
@@ -49,6 +66,10 @@
             return Vec::new();
         }
     };
+    for report in &datagram.crashes {
+        // Without a traffic thread the process is ending.
+        let _ = crashes.send(*report);
+    }
     let reply = state.gossip.borrow_mut().hear(state.clock.now_us(), &datagram);
     reply.into_iter().collect()
 }
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -176,6 +176,7 @@
         replica,
         send: send.unwrap_or(UNKNOWN_SEND),
         end_us: request.deadline_us,
+        is_one_of_many: true,
     };
     let shard = part.shard;
     // The ask may have been cancelled.
@@ -214,6 +215,7 @@
         arrived_us,
         deadline_us: arrived_us + ask.left_us,
         gone_us: 0,
+        fingerprint: ask.fingerprint,
     })
 }
 
--- a/crates/sassafrasproxy-gateway/src/relayed.rs
+++ b/crates/sassafrasproxy-gateway/src/relayed.rs
@@ -174,6 +174,7 @@
         headers: headers.collect(),
         body: request.body.to_vec(),
         left_us,
+        fingerprint: request.fingerprint,
         top_k: spec.top_k,
         parts: parts.collect(),
     }
--- a/crates/sassafrasproxy-gateway/src/request.rs
+++ b/crates/sassafrasproxy-gateway/src/request.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use ecow::EcoString;
 use http::{HeaderMap, Method, Uri};
-use sassafrasproxy_core::US_PER_MS;
+use sassafrasproxy_core::{CrashReport, US_PER_MS};
 use sassafrasproxy_platform::{CallerHead, is_forwarded};
 use sassafrasproxy_wire::Route;
 
@@ -32,6 +32,8 @@
     pub deadline_us: u64,
     /// How long before the arrival the caller's time started, in microseconds.
     pub gone_us: u64,
+    /// The hash of what the request asks.
+    pub fingerprint: u64,
 }
 
 impl CallerRequest {
@@ -43,6 +45,8 @@
         now_us: u64,
         gone_us: u64,
     ) -> Self {
+        let method = parts.method.as_str();
+        let fingerprint = CrashReport::fingerprint(&head.host, method, parts.uri.path(), &body);
         let mut headers = parts.headers;
         let dropped: Vec<_> = headers.keys().filter(|name| !is_forwarded(name)).cloned().collect();
         for name in dropped {
@@ -61,6 +65,7 @@
             arrived_us: now_us,
             deadline_us,
             gone_us,
+            fingerprint,
         }
     }
 
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -10,12 +10,12 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CallerDelays, Catalogue, Fanout, FetchPlan, PoolSettings, RetryBudget, RetryBudgetPolicy,
-    RouteTimes, SendCause, SendTimes, SplitChooser, US_PER_MS, UpstreamPool, count_large,
-    directory_addresses,
+    CallerDelays, Catalogue, CrashReport, CrashWatch, Fanout, FetchPlan, PoolSettings, RetryBudget,
+    RetryBudgetPolicy, RouteTimes, SendCause, SendTimes, SplitChooser, US_PER_MS, UpstreamPool,
+    count_large, directory_addresses,
 };
 use sassafrasproxy_wire::{Route, RouteTarget, WeightedService};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
 use crate::connections::{Connections, connect};
@@ -40,6 +40,9 @@
     pub connections: RefCell<Connections>,
     pub metrics: Arc<GatewayMetrics>,
     pub delays: RefCell<CallerDelays>,
+    crash_watch: RefCell<CrashWatch>,
+    /// Where deaths that this thread sees go, so that peers hear of them.
+    crashes: mpsc::UnboundedSender<CrashReport>,
     times: RefCell<IndexMap<EcoString, RouteTimes>>,
     splits: RefCell<IndexMap<EcoString, SplitChooser>>,
     /// Whether callers should move on to other nodes.
@@ -64,6 +67,7 @@
         settings: Arc<GatewaySettings>,
         metrics: Arc<GatewayMetrics>,
         address: EcoString,
+        crashes: mpsc::UnboundedSender<CrashReport>,
     ) -> Self {
         Self {
             clock,
@@ -75,6 +79,8 @@
             connections: RefCell::default(),
             metrics,
             delays: RefCell::default(),
+            crash_watch: RefCell::default(),
+            crashes,
             times: RefCell::default(),
             splits: RefCell::default(),
             is_leaving: Cell::new(false),
@@ -109,6 +115,27 @@
         }
     }
 
+    /// Takes in what peers report of replicas that died, for as long as there is a control thread.
+    pub async fn follow_crashes(self: Rc<Self>, mut heard: mpsc::UnboundedReceiver<CrashReport>) {
+        while let Some(report) = heard.recv().await {
+            self.crash_watch.borrow_mut().note(self.clock.now_us(), report);
+        }
+    }
+
+    /// Notes that a replica died under a request, and tells the peers.
+    pub fn note_crash(&self, report: CrashReport) {
+        let is_news = self.crash_watch.borrow_mut().note(self.clock.now_us(), report);
+        if is_news {
+            // Without a control thread there is nobody to tell.
+            let _ = self.crashes.send(report);
+        }
+    }
+
+    /// Whether a request has crashed too many replicas to be sent to another.
+    pub fn crashes_replicas(&self, fingerprint: u64) -> bool {
+        self.crash_watch.borrow_mut().is_refused(self.clock.now_us(), fingerprint)
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> Arc<GatewaySettings> {
         self.settings.borrow().clone()
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -8,7 +8,7 @@
 use ecow::EcoString;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use sassafrasproxy_core::{SendId, SendOutcome, TryResult, US_PER_MS};
+use sassafrasproxy_core::{CrashReport, SendId, SendOutcome, TryResult, US_PER_MS};
 use sassafrasproxy_platform::{UpstreamHead, upstream_head, write_upstream_request};
 use sassafrasproxy_wire::ReplicaEntry;
 use tokio::task::{AbortHandle, spawn_local};
@@ -105,6 +105,8 @@
     pub send: SendId,
     /// When the replica stops, in microseconds.
     pub end_us: u64,
+    /// Whether replicas of other services run the request at the same time.
+    pub is_one_of_many: bool,
 }
 
 impl SendSpec {
@@ -208,7 +210,7 @@
     }
 }
 
-async fn run(traffic: &Traffic, spec: &SendSpec) -> SendEnd {
+async fn run(traffic: &Rc<Traffic>, spec: &SendSpec) -> SendEnd {
     let id = &spec.replica.id;
     let sender = match ready_sender(traffic, spec).await {
         Ok(sender) => sender,
@@ -234,6 +236,23 @@
     }
 }
 
+/// Finds out whether a replica whose connection broke off under a request has died.
+///
+/// An answer that is lost on its way breaks a connection off, too, but then the replica takes
+/// new ones. Where several replicas run the request at once, their deaths count as one.
+fn look_for_crash(traffic: &Rc<Traffic>, spec: &SendSpec) {
+    let replica = if spec.is_one_of_many { "" } else { spec.replica.id.as_str() };
+    let report = CrashReport::new(spec.request.fingerprint, &spec.request.attempt_id, replica);
+    let (traffic, address) = (traffic.clone(), spec.replica.address);
+    let (request, replica) = (spec.request.attempt_id.clone(), spec.replica.id.clone());
+    spawn_local(async move {
+        if connect(address, CONNECT_LIMIT).await.is_err() {
+            log::warn!(request:%, replica:%; "a replica died under a request");
+            traffic.note_crash(report);
+        }
+    });
+}
+
 /// A connection that can take a request now: a kept one, or a new one.
 async fn ready_sender(traffic: &Traffic, spec: &SendSpec) -> eyre::Result<UpstreamSender> {
     loop {
@@ -250,7 +269,7 @@
 
 /// Sends the request and reads the whole answer.
 async fn exchange(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     spec: &SendSpec,
     mut sender: UpstreamSender,
     left_ms: u64,
@@ -266,7 +285,11 @@
         Err(error) => {
             let is_unsent = error.message().is_some();
             spec.note_failure(error.error());
-            return if is_unsent { SendEnd::Unsent } else { SendEnd::Lost };
+            if is_unsent {
+                return SendEnd::Unsent;
+            }
+            look_for_crash(traffic, spec);
+            return SendEnd::Lost;
         }
     };
     let (parts, body) = response.into_parts();
--- a/crates/sassafrasproxy-wire/src/relay.rs
+++ b/crates/sassafrasproxy-wire/src/relay.rs
@@ -38,6 +38,8 @@
     pub body: Vec<u8>,
     /// The time that remains, in microseconds.
     pub left_us: u64,
+    /// The hash of what the request asks.
+    pub fingerprint: u64,
     /// How many of the greatest records the answer needs.
     pub top_k: usize,
     /// The replicas.
