Refuse queries that must fail before any replica works on them

Now the shards that can be asked are counted first; the refusal is 503 with the time in which enough of them may be asked again. Ruled out: a longer wait for replicas that are avoided (they fail again). Tests: cli too_few_shards (502 before), core gathers possible.

--- a/crates/sassafrasproxy-cli/tests/gateway_path.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_path.rs
@@ -50,14 +50,19 @@
     assert_eq!(answer.header("x-part-stamps").split(", ").count(), SHARDS - 1);
 }
 
-/// Too few shards are there: the refusal comes at once and says when to come back.
+/// Too few shards are there. The refusal comes at once, before replicas of the others work for
+/// nothing, and says truly that nothing ran, and when to come back.
 #[tokio::test(flavor = "multi_thread")]
 async fn too_few_shards() {
     let system = System::start(1).await;
     for id in ["s1a", "s1b", "s2a", "s2b"] {
         system.store.remove(&format!("servers/{id}"));
     }
-    let answer = system.ask_until(0, "/all/7", |answer| answer.status != 200).await;
+    system.ask_until(0, "/all/7", |answer| answer.status != 200).await;
+    let before = system.replica("s0a").runs().len();
+    let answer = system.ask(0, "/all/7").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(system.replica("s0a").runs().len(), before, "work for nothing");
     assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
 }
 
--- a/crates/sassafrasproxy-core/src/forward/gather.rs
+++ b/crates/sassafrasproxy-core/src/forward/gather.rs
@@ -63,6 +63,18 @@
     GatherStep::Wait { until_us }
 }
 
+/// In how long so many shards can be asked that an answer is possible, in microseconds; `None`
+/// if too few are there at all.
+///
+/// `usable_in_us` says in how long each shard has a replica that may get work. Guards against
+/// queries that must fail: with three of twenty shards away and eighteen needed, seventeen
+/// replicas would work for an answer that nobody gets.
+pub fn possible_in_us(usable_in_us: &[Option<u64>], min_parts: usize) -> Option<u64> {
+    let mut times: Vec<u64> = usable_in_us.iter().copied().flatten().collect();
+    times.sort_unstable();
+    times.get(min_parts.saturating_sub(1)).copied()
+}
+
 /// The greatest records of all parts, greatest first; a part's remainder is no record.
 ///
 /// Equal records all count. Selecting before sorting keeps the work near one pass over the
--- a/crates/sassafrasproxy-core/src/forward/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -26,7 +26,9 @@
 pub use self::discovery::{Discovery, DiscoveryEvent, DiscoveryNote};
 pub use self::facts::{Fact, FactChanges, NodeRegistration, Subject};
 pub use self::fetch::{Fetch, FetchEnd, FetchFailure, FetchPlan, FetchStep, SendCause, TryResult};
-pub use self::gather::{GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step};
+pub use self::gather::{
+    GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step, possible_in_us,
+};
 pub use self::gossip::{Follow, Gossip, GossipPolicy, MemberNote, Newest, PeerDatagram, PeerSend};
 pub use self::pool::{PoolSettings, SendId, SendOutcome, UpstreamPool};
 pub use self::retry_budget::{RetryBudget, RetryBudgetPolicy};
--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -194,10 +194,11 @@
         self.replicas.get(id).map(|state| &state.entry)
     }
 
-    /// Whether any replica of a service may get work at this moment.
-    pub fn has_usable(&self, service: &str, now_us: u64) -> bool {
-        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().any(|id| self.replicas[id].is_usable(now_us))
+    /// In how long a replica of a service may get work, in microseconds; `None` if none is there.
+    pub fn usable_in_us(&self, service: &str, now_us: u64) -> Option<u64> {
+        let ids = self.services.get(service)?;
+        let open = ids.iter().map(|id| &self.replicas[id]).filter(|state| state.is_open);
+        open.map(|state| state.usable_in_us(now_us)).min()
     }
 
     /// Whether a service has any replica, usable or not.
@@ -321,7 +322,18 @@
     }
 
     fn is_usable(&self, now_us: u64) -> bool {
-        self.is_open && self.avoid_until_us <= now_us && self.outstanding.len() < self.max_in_flight
+        self.is_open && self.usable_in_us(now_us) == 0
+    }
+
+    /// In how long an open replica may get work, in microseconds.
+    fn usable_in_us(&self, now_us: u64) -> u64 {
+        let avoid_us = self.avoid_until_us.saturating_sub(now_us);
+        if self.outstanding.len() < self.max_in_flight {
+            return avoid_us;
+        }
+        // One of its sends ends at about its usual time.
+        let first = self.outstanding.iter().map(|one| one.sent_us + one.expected_us).min();
+        first.map_or(1, |end_us| end_us.saturating_sub(now_us).max(1)).max(avoid_us)
     }
 
     /// Whether the replica, if it is cold, bears one more request from this node now.
--- a/crates/sassafrasproxy-core/tests/gathers.rs
+++ b/crates/sassafrasproxy-core/tests/gathers.rs
@@ -1,7 +1,9 @@
 //! When a query over shards is answered, and with what.
 
 use proptest::prelude::*;
-use sassafrasproxy_core::{GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step};
+use sassafrasproxy_core::{
+    GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step, possible_in_us,
+};
 
 const PLAN: GatherPlan = GatherPlan { shards: 20, min_parts: 18, stop_us: 70, end_us: 390 };
 
@@ -26,6 +28,16 @@
     }
 }
 
+/// Some shards are away for a while, and one has no replica at all.
+#[test]
+fn possible() {
+    let shards = [Some(0), Some(90_000), None, Some(0), Some(40_000)];
+    let cases = [(1, Some(0)), (2, Some(0)), (3, Some(40_000)), (4, Some(90_000)), (5, None)];
+    for (min_parts, expected_us) in cases {
+        assert_eq!(possible_in_us(&shards, min_parts), expected_us, "{min_parts} parts");
+    }
+}
+
 /// 0.75 of 20 is 15, whatever the fraction's last bit is.
 #[test]
 fn least_parts() {
--- a/crates/sassafrasproxy-core/tests/replica_choice.rs
+++ b/crates/sassafrasproxy-core/tests/replica_choice.rs
@@ -114,7 +114,7 @@
         exchange(&mut pool, "near", now_us, 100, SendOutcome::Unreachable);
         now_us += 100;
         assert_eq!(pick(&mut pool, now_us), None, "after failure {failure}");
-        assert!(!pool.has_usable("s", now_us));
+        assert!(pool.usable_in_us("s", now_us).unwrap() > 0);
         now_us += 1_600_000;
         assert!(pick(&mut pool, now_us).is_some(), "after failure {failure}");
     }
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use sassafrasproxy_core::{
     Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, SendCause, SendId, TryResult,
-    merge_records, next_gather_step,
+    US_PER_MS, merge_records, next_gather_step, possible_in_us,
 };
 use sassafrasproxy_platform::PartSummary;
 use sassafrasproxy_wire::{GatherTarget, ReplicaEntry, Route};
@@ -36,6 +36,11 @@
 /// One part alone would cost the relay's time and save nothing.
 const MIN_RELAYED: usize = 2;
 
+/// When a query may come back for which too few shards have any replica, in milliseconds.
+///
+/// Replicas that start are known some 250 ms later.
+const AWAY_RETRY_MS: u64 = 250;
+
 /// When a query of which too many shards were away may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 150;
 
@@ -108,6 +113,9 @@
     route: &Route,
     target: &GatherTarget,
 ) -> Answer {
+    if let Some(refusal) = refuse_impossible(traffic, &request, target) {
+        return refusal;
+    }
     let (ends, mut ended) = mpsc::unbounded_channel();
     let mut gathering = Gathering::new(traffic, request, route, target, ends);
     let mut wake_us = gathering.advance_all();
@@ -136,6 +144,30 @@
     }
 }
 
+/// Refuses a query for which too few shards can be asked now, before any replica works on it.
+fn refuse_impossible(
+    traffic: &Traffic,
+    request: &CallerRequest,
+    target: &GatherTarget,
+) -> Option<Answer> {
+    let pool = traffic.pool.borrow();
+    let usable_in_us: Vec<Option<u64>> = target
+        .services
+        .iter()
+        .map(|service| pool.usable_in_us(service, request.arrived_us))
+        .collect();
+    let min_parts = GatherPlan::min_parts(target.services.len(), target.min_coverage);
+    let retry_after_ms = match possible_in_us(&usable_in_us, min_parts) {
+        Some(0) => return None,
+        Some(wait_us) => wait_us.div_ceil(US_PER_MS),
+        None => AWAY_RETRY_MS,
+    };
+    let request = &request.attempt_id;
+    let away = usable_in_us.iter().filter(|time| **time != Some(0)).count();
+    log::info!(request:%, away, retry_after_ms; "too few shards can be asked");
+    Some(refuse(&traffic.metrics, Refusal::NotRun, Some(retry_after_ms)))
+}
+
 impl<'a> Gathering<'a> {
     fn new(
         traffic: &'a Rc<Traffic>,
--- a/crates/sassafrasproxy-gateway/src/single.rs
+++ b/crates/sassafrasproxy-gateway/src/single.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ecow::EcoString;
-use sassafrasproxy_core::{Fetch, FetchFailure, FetchStep};
+use sassafrasproxy_core::{Fetch, FetchFailure, FetchStep, US_PER_MS};
 use sassafrasproxy_wire::Route;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -14,9 +14,8 @@
 use crate::traffic::Traffic;
 use crate::upstream::{SendEnd, SendSpec, Sends, UpstreamAnswer, is_failure, start_send};
 
-/// When a request that found no replica may come back, in milliseconds.
-///
-/// Replicas that failed are tried again after 100 ms at first.
+/// When a request that was refused by every replica may come back, in milliseconds: after about
+/// one run of the services that answer alone.
 const RETRY_AFTER_MS: u64 = 100;
 
 /// Serves a request by one replica of a service.
@@ -64,7 +63,9 @@
                 continue;
             }
             FetchStep::Wait { until_us } => until_us.unwrap_or(end_us).min(end_us),
-            FetchStep::Failed(failure) => return fail(traffic, failure, failure_answer),
+            FetchStep::Failed(failure) => {
+                return fail(traffic, fetch.service(), failure, failure_answer);
+            }
         };
         let wait = Duration::from_micros(until_us.saturating_sub(now_us));
         let Ok(Some(end)) = timeout(wait, ended.recv()).await else { continue };
@@ -91,6 +92,7 @@
 /// The final answer when nothing more can be done: a replica's own failure before this node's.
 fn fail(
     traffic: &Traffic,
+    service: &str,
     failure: FetchFailure,
     failure_answer: Option<UpstreamAnswer>,
 ) -> Answer {
@@ -98,5 +100,8 @@
         return pass_on(answer);
     }
     let refusal = if failure.may_have_run { Refusal::Lost } else { Refusal::NotRun };
-    refuse(&traffic.metrics, refusal, Some(RETRY_AFTER_MS))
+    let now_us = traffic.clock.now_us();
+    let usable_in_us = traffic.pool.borrow().usable_in_us(service, now_us);
+    let wait_ms = usable_in_us.map_or(0, |time_us| time_us.div_ceil(US_PER_MS));
+    refuse(&traffic.metrics, refusal, Some(wait_ms.max(RETRY_AFTER_MS)))
 }
