--- a/crates/sassafrasproxy-config/src/service_file.rs
+++ b/crates/sassafrasproxy-config/src/service_file.rs
@@ -19,7 +19,7 @@
 const MAX_DEPTH: usize = 16;
 
 /// What to do about a service file that cannot be read.
-const HINT: &str = "compare it with the service file in docs/OPERATORS.md";
+const HINT: &str = "compare it with the service file in docs/OPERATIONS.md";
 
 /// A service as it stands in its file.
 #[derive(Debug)]
--- a/crates/sassafrasproxy-config/src/settings.rs
+++ b/crates/sassafrasproxy-config/src/settings.rs
@@ -19,7 +19,7 @@
 
 /// What to do about a settings file that cannot be read.
 const HINT: &str =
-    "name, failure_domain, listen, peer_listen and platform are needed; see docs/OPERATORS.md";
+    "name, failure_domain, listen, peer_listen and platform are needed; see docs/OPERATIONS.md";
 
 /// The checked settings of one node.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -200,7 +200,7 @@
         self.count_misses(now_us);
         let changes = self.members.expire(now_us, self.policy.suspect_us, self.policy.forget_us);
         self.note(changes);
-        let mut targets: IndexSet<EcoString> = IndexSet::new();
+        let mut targets = self.probe_again();
         for _ in 0..self.policy.probes {
             let Some(member) = self.members.next_probe(&mut self.rng) else { break };
             targets.insert(member.peer_address.clone());
@@ -323,6 +323,22 @@
         Follow::Peer { peer_address: own.peer_address.clone() }
     }
 
+    /// Probes members that missed their last probe once more, and returns where they are.
+    ///
+    /// Without it the next probe of the same member comes a whole round later, half a minute in
+    /// a fleet of 120, and a lost failure domain would be named to callers all the while.
+    fn probe_again(&mut self) -> IndexSet<EcoString> {
+        let mut targets = IndexSet::new();
+        for (node, probe) in &mut self.probes {
+            let Some(member) = self.members.member(node) else { continue };
+            if probe.misses > 0 && member.state == MemberState::Alive {
+                probe.is_waiting = true;
+                targets.insert(member.peer_address.clone());
+            }
+        }
+        targets
+    }
+
     /// Suspects members that did not answer some probes in a row.
     fn count_misses(&mut self, now_us: u64) {
         let mut silent = Vec::new();
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -178,3 +178,17 @@
     let informed = fleet.nodes.iter().filter(|node| node.best_informed().is_some()).count();
     assert_eq!(informed, 59);
 }
+
+/// A failure domain of thirty nodes loses power. Callers are sent to its nodes for as long as the
+/// directories name them: thirty deaths must travel as fast as one.
+#[test]
+fn domain_lost() {
+    let mut fleet = Fleet::new(120);
+    fleet.run(60);
+    fleet.silent.extend((0..120).filter(|at| at % 4 == 1));
+    fleet.run(6);
+    let named = |at: usize| (0..120).filter(|other| fleet.state(at, *other).is_some()).count();
+    let known: Vec<usize> = (0..120).filter(|at| at % 4 != 1).map(named).collect();
+    let most = known.iter().max().unwrap();
+    assert!(*most <= 93, "a node still names {} dead ones", most - 90);
+}
--- a/crates/sassafrasproxy-node/src/metrics.rs
+++ b/crates/sassafrasproxy-node/src/metrics.rs
@@ -9,7 +9,7 @@
 /// The prefix of every metric.
 const PREFIX: &str = "sassafrasproxy";
 
-/// The node's metrics; docs/OPERATORS.md lists them by name and unit.
+/// The node's metrics; docs/OPERATIONS.md lists them by name and unit.
 #[derive(Debug)]
 pub struct Metrics {
     client: StatsdClient,
