Drop at once what leaves while the store turns only this node away

Found by the whole test run: turned_away failed, 10 requests to a replica that had left. Ruled out: slow news (the node had them in a second). A peer that the store serves now settles that nothing lapsed.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -9,7 +9,7 @@
 use http::Request;
 use http_body_util::Full;
 use nix::sys::signal::Signal;
-use sassafrasproxy_platform_standin::{StoreMode, ask_with};
+use sassafrasproxy_platform_standin::{StoreDoor, StoreMode, ask_with};
 use serde_json::{Value, json};
 
 use crate::gateway::{HOST, PATIENCE, System, routes};
@@ -182,11 +182,47 @@
     }
 }
 
-/// The store turns one node away; the peer that it follows dies, and it follows another. A
-/// replica whose entry goes then has left. A node that still took the store to be away for all
-/// would keep it until lapsed entries are back, and as it never asks the store itself, for good.
+/// The store turns one node away, and the peer that it follows dies. A replica whose entry goes
+/// then has left. A node that still took the store to be away for all would keep it until lapsed
+/// entries are back, and as it learns of the store from peers only, for good.
 #[tokio::test(flavor = "multi_thread")]
 async fn turned_away() {
+    let system = turn_away().await;
+    remove_replica(&system).await;
+}
+
+/// The same, once the node follows another peer.
+#[tokio::test(flavor = "multi_thread")]
+async fn turned_away_following() {
+    let system = turn_away().await;
+    let before = system.gateways[system.at].lines().len();
+    let end = Instant::now() + PATIENCE;
+    let follows = |line: &Value| line["message"] == "the node follows a peer";
+    while !system.gateways[system.at].lines()[before..].iter().any(follows) {
+        assert!(Instant::now() < end, "no other peer is followed");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    remove_replica(&system).await;
+}
+
+/// A system with a node that the store turns away, whose followed peer is dead.
+struct TurnedAway {
+    system: System,
+    /// The node.
+    at: usize,
+    /// Keeps the way to the store that is shut.
+    _door: StoreDoor,
+}
+
+impl std::ops::Deref for TurnedAway {
+    type Target = System;
+
+    fn deref(&self) -> &System {
+        &self.system
+    }
+}
+
+async fn turn_away() -> TurnedAway {
     let mut system = System::start(12).await;
     let door = system.store.door();
     let added: Vec<usize> = (0..4).map(|_| system.add_gateway_at(door.address())).collect();
@@ -209,20 +245,17 @@
         system.gateways.iter().find(|gateway| gateway.peers().to_string() == peer).unwrap();
     followed.signal(Signal::SIGKILL).unwrap();
     system.gateways[at].wait_for_line("the store is lost").unwrap();
-    let follows_another = |line: &Value| {
-        line["message"] == "the node follows a peer" && line["peer"].as_str() != Some(peer)
-    };
-    let end = Instant::now() + PATIENCE;
-    while !system.gateways[at].lines().iter().any(follows_another) {
-        assert!(Instant::now() < end, "no other peer is followed");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    TurnedAway { system, at, _door: door }
+}
+
+/// Takes a replica's entry away: the node sends nothing to it once it could have heard of that.
+async fn remove_replica(system: &TurnedAway) {
     system.store.remove("servers/da");
     // Longer than lapsed entries may take to be back.
     tokio::time::sleep(Duration::from_secs(4)).await;
     let before = system.replica("da").arrivals().len();
     for _ in 0..10 {
-        assert_eq!(system.ask(at, "/desk/7").await.status, 200);
+        assert_eq!(system.ask(system.at, "/desk/7").await.status, 200);
     }
     assert_eq!(system.replica("da").arrivals().len(), before, "new work after it left");
 }
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -171,6 +171,18 @@
     assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
 }
 
+/// The store turns this node away but serves its peers. An entry that goes is a replica that
+/// leaves: it did not lapse, and is not kept for two seconds as after an outage.
+#[test]
+fn away_for_one() {
+    let mut discovery = listed();
+    discovery.take_catalogue();
+    discovery.step(10_000_000, DiscoveryEvent::StoreLost);
+    discovery.step(11_000_000, DiscoveryEvent::PeerFollowsStore);
+    discovery.step(11_000_000, gone("a", 8));
+    assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
+}
+
 /// What a peer does not name but learned nothing of either stays.
 #[test]
 fn peer_behind() {
--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -7,9 +7,9 @@
 use http::{HeaderValue, Request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use sassafrasproxy_core::Catalogue;
+use sassafrasproxy_core::{Catalogue, US_PER_MS};
 use sassafrasproxy_platform::caller_head;
-use sassafrasproxy_wire::RouteTarget;
+use sassafrasproxy_wire::{Route, RouteTarget};
 
 use crate::answer::{Answer, Refusal, refuse};
 use crate::metrics::{Answered, OfRoute};
@@ -36,7 +36,13 @@
             let retry_after_ms = match refusal {
                 Refusal::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
                 Refusal::CrashesReplicas => Some(CRASHES_RETRY_MS),
-                _ => None,
+                // Coming back would not help, or the answer says so itself.
+                Refusal::BadRequest
+                | Refusal::NoRoute
+                | Refusal::TooLarge
+                | Refusal::NotRun
+                | Refusal::TimedOut
+                | Refusal::Lost => None,
             };
             refuse(&traffic.metrics, refusal, retry_after_ms)
         }
@@ -78,36 +84,55 @@
         log::info!(request:%, host:%, path, version = catalogue.version; "no route");
         return Err(Refusal::NoRoute);
     };
-    let attempt_id = head.attempt_id.clone();
     let gone_us = head
         .deadline_ms
         .map_or(0, |deadline_ms| traffic.delays.borrow_mut().note(&route.name, deadline_ms));
     let request = Rc::new(CallerRequest::new(head, parts, body, arrived_us, gone_us));
     if traffic.crashes_replicas(request.fingerprint) {
-        log::info!(request:% = attempt_id, route:% = route.name; "the request crashes replicas");
+        let request = &request.attempt_id;
+        log::info!(request:%, route:% = route.name; "the request crashes replicas");
         return Err(Refusal::CrashesReplicas);
     }
-    let answer = match &route.target {
+    let answer = serve_route(traffic, &request, &route).await?;
+    note_answer(traffic, &request, &route, catalogue.version, &answer);
+    Ok(answer)
+}
+
+async fn serve_route(
+    traffic: &Rc<Traffic>,
+    request: &Rc<CallerRequest>,
+    route: &Route,
+) -> Result<Answer, Refusal> {
+    let request = request.clone();
+    Ok(match &route.target {
         RouteTarget::Service(service) => {
-            single::serve(traffic, request, &route, service.clone()).await
+            single::serve(traffic, request, route, service.clone()).await
         }
         RouteTarget::Split(parts) => {
-            let service = traffic.choose_split(&route.name, parts);
-            let service = service.ok_or(Refusal::NotRun)?;
-            single::serve(traffic, request, &route, service).await
+            let service = traffic.choose_split(&route.name, parts).ok_or(Refusal::NotRun)?;
+            single::serve(traffic, request, route, service).await
         }
-        RouteTarget::Gather(target) => gather::serve(traffic, request, &route, target).await,
-    };
-    let took_ms = (traffic.clock.now_us() - arrived_us) / 1_000;
-    let by_route = Answered { route: route.name.to_string(), status: answer.status().as_u16() };
+        RouteTarget::Gather(target) => gather::serve(traffic, request, route, target).await,
+    })
+}
+
+/// Counts an answer and logs it: the one line of a request in calm.
+fn note_answer(
+    traffic: &Traffic,
+    request: &CallerRequest,
+    route: &Route,
+    version: u64,
+    answer: &Answer,
+) {
+    let took_us = traffic.clock.now_us() - request.arrived_us;
+    let status = answer.status().as_u16();
+    let by_route = Answered { route: route.name.to_string(), status };
     traffic.metrics.answers.get_or_create(&by_route).inc();
-    let took_s = (traffic.clock.now_us() - arrived_us) as f64 / 1e6;
     let of_route = OfRoute { route: by_route.route };
-    traffic.metrics.latency.get_or_create(&of_route).observe(took_s);
-    let (route, status, version) = (&route.name, answer.status().as_u16(), catalogue.version);
+    traffic.metrics.latency.get_or_create(&of_route).observe(took_us as f64 / 1e6);
     let reason = answer.extensions().get::<Refusal>().map_or("", |refusal| refusal.reason());
-    log::info!(request:% = attempt_id, route:%, status, took_ms, version, reason; "answered");
-    Ok(answer)
+    let (request, route, took_ms) = (&request.attempt_id, &route.name, took_us / US_PER_MS);
+    log::info!(request:%, route:%, status, took_ms, version, reason; "answered");
 }
 
 async fn read_body(catalogue: &Catalogue, body: Incoming) -> Result<bytes::Bytes, Refusal> {
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -8,8 +8,8 @@
 use ecow::{EcoString, eco_format};
 use indexmap::IndexMap;
 use sassafrasproxy_core::{
-    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, SendCause, SendId, TryResult,
-    US_PER_MS, merge_records, next_gather_step, possible_in_us,
+    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, SendCause, SendId, US_PER_MS,
+    merge_records, next_gather_step, possible_in_us,
 };
 use sassafrasproxy_platform::PartSummary;
 use sassafrasproxy_wire::{GatherTarget, ReplicaEntry, Route};
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{Answer, Refusal, merged, refuse};
-use crate::relayed::{RelaySpec, start_relayed};
+use crate::relayed::{RelaySpec, RelayedPart, start_relayed};
 use crate::request::CallerRequest;
 use crate::traffic::Traffic;
 use crate::upstream::{SendEnd, SendSpec, Sends, start_send};
@@ -91,8 +91,8 @@
     Sent(usize, SendEnd),
     /// Parts that a relay asked for.
     Relayed {
-        /// How each shard's send ended, with its signature if it was answered.
-        parts: Vec<(usize, TryResult, Option<EcoString>)>,
+        /// How each shard's send ended.
+        parts: Vec<RelayedPart>,
         /// The records of the answered parts, merged.
         records: Bytes,
     },
@@ -122,7 +122,7 @@
     loop {
         let now_us = traffic.clock.now_us();
         match gathering.next(now_us) {
-            GatherStep::Answer => return gathering.answer(target.top_k),
+            GatherStep::Answer => return gathering.answer(),
             GatherStep::GiveUp => return gathering.give_up(now_us),
             GatherStep::Wait { until_us } => wake_us = wake_us.min(until_us),
         }
@@ -239,7 +239,8 @@
             match step {
                 FetchStep::Send { replica, send, cause } => {
                     self.traffic.count_send(cause);
-                    log::debug!(request:% = self.request.attempt_id, replica:%, cause:?; "a send starts");
+                    let request = &self.request.attempt_id;
+                    log::debug!(request:%, replica:%, cause:?; "a send starts");
                     self.send(at, &replica, send, cause);
                 }
                 FetchStep::Wait { until_us } => return until_us.unwrap_or(u64::MAX),
@@ -250,6 +251,7 @@
         }
     }
 
+    /// Sends to a replica, or holds a first send to another failure domain back.
     fn send(&mut self, shard: usize, replica: &EcoString, send: SendId, cause: SendCause) {
         let entry = self.traffic.pool.borrow().entry(replica).cloned();
         let Some(replica) = entry else { return };
@@ -286,11 +288,8 @@
         for (domain, sends) in by_domain {
             let now_us = self.traffic.clock.now_us();
             let expected_us = self.fetch_plan.expected_us;
-            let relay = match sends.len() < MIN_RELAYED {
-                true => None,
-                false => self.traffic.relays.pick(&domain, now_us, expected_us),
-            };
-            match relay {
+            let relay = self.traffic.relays.pick(&domain, now_us, expected_us);
+            match relay.filter(|_| sends.len() >= MIN_RELAYED) {
                 Some(relay) => self.send_by_relay(relay, sends),
                 None => sends.into_iter().for_each(|far| self.send_direct(far)),
             }
@@ -330,16 +329,12 @@
     ///
     /// Their records are merged, so they are in all together or not at all. A part of one of
     /// their shards that a second send brought meanwhile gives way.
-    fn take_relayed(
-        &mut self,
-        parts: Vec<(usize, TryResult, Option<EcoString>)>,
-        records: Bytes,
-    ) -> Vec<usize> {
-        let shards = parts.iter().map(|(shard, ..)| *shard).collect();
+    fn take_relayed(&mut self, parts: Vec<RelayedPart>, records: Bytes) -> Vec<usize> {
+        let shards = parts.iter().map(|part| part.shard).collect();
         let mut stamps = Vec::with_capacity(parts.len());
-        for (shard, result, stamp) in parts {
-            self.shards[shard].fetch.note(result);
-            stamps.extend(stamp.map(|stamp| (shard, stamp)));
+        for part in parts {
+            self.shards[part.shard].fetch.note(part.result);
+            stamps.extend(part.stamp.map(|stamp| (part.shard, stamp)));
         }
         let is_fresh = stamps.iter().all(|(shard, stamp)| {
             let is_alone = match self.shards[*shard].state {
@@ -387,7 +382,8 @@
         }
     }
 
-    fn answer(mut self, top_k: usize) -> Answer {
+    /// The answer with the parts that are in.
+    fn answer(mut self) -> Answer {
         self.sends.detach();
         self.note_missing();
         let is_in = |at: usize, unit: usize| matches!(self.shards[at].state, ShardState::In(known) if known == unit);
@@ -401,9 +397,10 @@
         }
         summary.missing_count = self.shards.len() - summary.stamps.len();
         self.traffic.metrics.missing_parts.inc_by(summary.missing_count as u64);
-        merged(merge_records(bodies, top_k), &summary)
+        merged(merge_records(bodies, self.top_k), &summary)
     }
 
+    /// The refusal of a query that cannot reach its least coverage any more.
     fn give_up(mut self, now_us: u64) -> Answer {
         self.sends.detach();
         self.note_missing();
--- a/crates/sassafrasproxy-gateway/src/peer_facts.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_facts.rs
@@ -134,9 +134,6 @@
         };
         let failure = match pulled {
             Ok(facts) if !facts.is_store_away => {
-                // What the store says is in reach again, though not from the store itself: an
-                // entry that goes from now on is a replica that leaves.
-                state.discover([DiscoveryEvent::StoreBack]);
                 learn(state, facts);
                 return true;
             }
@@ -174,6 +171,9 @@
 /// Takes what a peer told in.
 fn learn(state: &ControlState, told: PeerFacts) {
     let hold_until_us = state.clock.now_us() + told.hold_ms * US_PER_MS;
+    if !told.is_store_away {
+        state.discover([DiscoveryEvent::PeerFollowsStore]);
+    }
     let revision = told.revision;
     let hold = (told.hold_ms > 0).then_some(DiscoveryEvent::HoldUntil { until_us: hold_until_us });
     if !told.is_change {
--- a/crates/sassafrasproxy-gateway/src/relayed.rs
+++ b/crates/sassafrasproxy-gateway/src/relayed.rs
@@ -43,11 +43,22 @@
     pub patience_us: u64,
 }
 
+/// How one send of a relay ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayedPart {
+    /// The shard's number in the query.
+    pub shard: usize,
+    /// What it means for the shard's fetch.
+    pub result: TryResult,
+    /// The replica's signature, if it was answered.
+    pub stamp: Option<EcoString>,
+}
+
 /// Starts an ask in a task of its own, which tells the ends of its sends as they come.
 pub fn start_relayed(
     traffic: &Rc<Traffic>,
     spec: RelaySpec,
-    tell: impl Fn(Vec<(usize, TryResult, Option<EcoString>)>, Bytes) + 'static,
+    tell: impl Fn(Vec<RelayedPart>, Bytes) + 'static,
 ) -> AbortHandle {
     let traffic = traffic.clone();
     spawn_local(async move {
@@ -86,7 +97,8 @@
         }
         // Whether the replicas ran what a lost relay was asked for is not known.
         let result = if is_sent { TryResult::MayHaveRun } else { TryResult::Unsent };
-        tell(open.keys().map(|shard| (*shard, result, None)).collect(), Bytes::new());
+        let ended = open.keys().map(|shard| RelayedPart { shard: *shard, result, stamp: None });
+        tell(ended.collect(), Bytes::new());
     })
     .abort_handle()
 }
@@ -112,7 +124,7 @@
     spec: &RelaySpec,
     left_us: u64,
     open: &mut IndexMap<usize, NotedSend>,
-    tell: &impl Fn(Vec<(usize, TryResult, Option<EcoString>)>, Bytes),
+    tell: &impl Fn(Vec<RelayedPart>, Bytes),
 ) -> eyre::Result<()> {
     let started_us = traffic.clock.now_us();
     let mut ask = traffic.relays.ask(&spec.relay, relay_ask(spec, left_us)).await?;
@@ -121,7 +133,7 @@
             // The connection ended after the ask: the replicas may run it.
             let lost = open.drain(..).map(|(shard, noted)| {
                 noted.end(SendOutcome::Cancelled, None);
-                (shard, TryResult::MayHaveRun, None)
+                RelayedPart { shard, result: TryResult::MayHaveRun, stamp: None }
             });
             tell(lost.collect(), Bytes::new());
             eyre::bail!("the connection ended");
@@ -135,7 +147,7 @@
             if result == TryResult::Answered {
                 traffic.note_latency(&spec.route, took_us);
             }
-            parts.push((part.shard, result, stamp));
+            parts.push(RelayedPart { shard: part.shard, result, stamp });
         }
         tell(parts, Bytes::from(reply.records));
     }
