--- a/crates/sassafrasproxy-cli/tests/gateway/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use sassafrasproxy_platform_standin::{
-    CallerAnswer, GatewayProcess, ReplicaStandIn, StoreStandIn, ask,
+    CallerAnswer, DeclaredRoute, DeclaredTarget, GatewayProcess, ReplicaStandIn, StoreStandIn, ask,
 };
-use serde_json::{Value, json};
 
 /// How long a test waits for a state before it counts as never reached.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -46,7 +45,7 @@
             replicas.push(ReplicaStandIn::start(&format!("d{copy}"), "desk", "found"));
         }
         let mut system = Self { store, replicas, gateways: Vec::new(), version: 0 };
-        system.publish(routes());
+        system.publish(&routes());
         for (at, replica) in system.replicas.iter().enumerate() {
             replica.register(&system.store, ["west", "east"][at % 2], "ready");
         }
@@ -76,35 +75,9 @@
     }
 
     /// Publishes a new version of the configuration.
-    pub fn publish(&mut self, routes: Value) {
+    pub fn publish(&mut self, routes: &[DeclaredRoute]) {
         self.version += 3;
-        let services: Vec<Value> = (0..SHARDS)
-            .map(|shard| format!("shard-{shard}"))
-            .chain(["desk".to_owned()])
-            .map(|name| {
-                json!({
-                    "name": name,
-                    "health_path": "/health",
-                    "max_connections": 64,
-                    "protocol": "h1",
-                    "tls": false,
-                    "warmup_s": 0.0,
-                    "warmup_per_s": 0.0,
-                })
-            })
-            .collect();
-        let configuration = json!({
-            "version": self.version,
-            "routes": routes,
-            "services": services,
-            "limits": {
-                "max_header_bytes": 16_384,
-                "max_body_bytes": 65_536,
-                "header_timeout_ms": 3_000,
-                "idle_timeout_ms": 15_000,
-            },
-        });
-        self.store.put("op/config", configuration.to_string());
+        self.store.publish(self.version, routes);
     }
 
     /// The replica with an id.
@@ -138,25 +111,33 @@
 }
 
 /// The routes of the test system.
-pub fn routes() -> Value {
-    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
-    json!([
-        {
-            "name": "r-all", "host": HOST, "prefix": "/all/", "route_type": "idempotent",
-            "timeout_ms": 1_000, "latency_goal_ms": 400, "priority": 1, "gather": shards,
-            "max_attempts": 2, "top_k": 3, "min_coverage": 0.75,
-        },
-        {
-            "name": "r-desk", "host": HOST, "prefix": "/desk/", "route_type": "idempotent",
-            "timeout_ms": 1_000, "latency_goal_ms": 400, "priority": 1, "service": "desk",
-            "max_attempts": 2,
-        },
-        {
-            "name": "r-order", "host": HOST, "prefix": "/desk/order/",
-            "route_type": "non_idempotent", "timeout_ms": 1_000, "latency_goal_ms": 400,
-            "priority": 1, "service": "desk", "max_attempts": 2,
-        },
-    ])
+pub fn routes() -> Vec<DeclaredRoute> {
+    let services = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
+    let gather = DeclaredTarget::Gather { services, top_k: 3, min_coverage: 0.75 };
+    let desk = DeclaredTarget::Service("desk".into());
+    vec![
+        route("r-all", "/all/", true, gather),
+        route("r-desk", "/desk/", true, desk.clone()),
+        route("r-order", "/desk/order/", false, desk),
+    ]
+}
+
+/// A route of the test system's host.
+pub fn route(
+    name: &str,
+    prefix: &str,
+    is_idempotent: bool,
+    target: DeclaredTarget,
+) -> DeclaredRoute {
+    DeclaredRoute {
+        name: name.into(),
+        host: HOST.into(),
+        prefix: prefix.into(),
+        is_idempotent,
+        timeout_ms: 1_000,
+        goal_ms: 400,
+        target,
+    }
 }
 
 /// A record whose last byte is `last`.
--- a/crates/sassafrasproxy-cli/tests/gateway_path.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_path.rs
@@ -6,9 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use http::Request;
-use http_body_util::Full;
-use sassafrasproxy_platform_standin::{Behavior, ask, ask_with};
+use sassafrasproxy_platform_standin::{Behavior, ask, ask_with, request};
 
 use crate::gateway::{HOST, PATIENCE, SHARDS, System, fresh_id, record};
 
@@ -18,11 +16,11 @@
     let answer = system.ask(0, "/desk/7").await;
     assert_eq!(answer.status, 200);
     assert_eq!(&answer.body[..], b"found");
-    assert!(answer.header("x-server-stamp").starts_with('d'));
+    assert!(answer.stamp().starts_with('d'));
     let sent = system.replica("da").arrivals();
-    let left: u64 = sent[0]["x-deadline-ms"].to_str().unwrap().parse().unwrap();
-    assert!(left <= 1_000, "more time handed on than the route has: {left}");
-    assert_eq!(sent[0]["x-target-instance"], "da");
+    let left_ms = sent[0].left_ms.unwrap();
+    assert!(left_ms <= 1_000, "more time handed on than the route has: {left_ms}");
+    assert_eq!(sent[0].target, "da");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -32,8 +30,8 @@
     assert_eq!(answer.status, 200);
     let greatest: Vec<u8> = (0..3).flat_map(|at| record(200 + SHARDS as u8 - 1 - at)).collect();
     assert_eq!(&answer.body[..], greatest);
-    assert_eq!(answer.header("x-part-stamps").split(", ").count(), SHARDS);
-    assert_eq!(answer.header("x-missing-parts"), "0");
+    assert_eq!(answer.part_stamps().len(), SHARDS);
+    assert_eq!(answer.missing_parts(), Some(0));
 }
 
 /// Both replicas of a shard are gone. The answer comes without it and says so; callers do not
@@ -42,12 +40,11 @@
 async fn shard_missing() {
     let system = System::start(1).await;
     for id in ["s2a", "s2b"] {
-        system.store.remove(&format!("servers/{id}"));
+        system.store.unlist(id);
     }
-    let answer =
-        system.ask_until(0, "/all/7", |answer| answer.header("x-missing-parts") == "1").await;
+    let answer = system.ask_until(0, "/all/7", |answer| answer.missing_parts() == Some(1)).await;
     assert_eq!(answer.status, 200);
-    assert_eq!(answer.header("x-part-stamps").split(", ").count(), SHARDS - 1);
+    assert_eq!(answer.part_stamps().len(), SHARDS - 1);
 }
 
 /// Too few shards are there. The refusal comes at once, before replicas of the others work for
@@ -56,14 +53,14 @@
 async fn too_few_shards() {
     let system = System::start(1).await;
     for id in ["s1a", "s1b", "s2a", "s2b"] {
-        system.store.remove(&format!("servers/{id}"));
+        system.store.unlist(id);
     }
     system.ask_until(0, "/all/7", |answer| answer.status != 200).await;
     let before = system.replica("s0a").runs().len();
     let answer = system.ask(0, "/all/7").await;
     assert_eq!(answer.status, 503);
     assert_eq!(system.replica("s0a").runs().len(), before, "work for nothing");
-    assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    assert!(answer.retry_after_s() > 0.0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -82,7 +79,7 @@
     let at = system.add_gateway();
     let answer = system.ask(at, "/desk/7").await;
     assert_eq!(answer.status, 503);
-    assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    assert!(answer.retry_after_s() > 0.0);
 }
 
 /// One replica answers with failures, sheds, or answers to another request: the sibling is
@@ -95,7 +92,7 @@
         for _ in 0..5 {
             let answer = system.ask(0, "/desk/7").await;
             assert_eq!(answer.status, 200, "{behavior:?}");
-            assert!(answer.header("x-server-stamp").starts_with("db"), "{behavior:?}");
+            assert!(answer.stamp().starts_with("db"), "{behavior:?}");
         }
     }
 }
@@ -153,9 +150,8 @@
 async fn bad_requests() {
     let system = System::start(1).await;
     let address = system.gateways[0].callers();
-    let without_id = Request::get("/desk/7").header("host", HOST).body(Full::default()).unwrap();
+    let without_id = request("GET", HOST, "/desk/7", None, Vec::new()).unwrap();
     assert_eq!(ask_with(address, without_id).await.unwrap().status, 400);
-    let large = Request::post("/desk/7").header("host", HOST).header("x-attempt-id", fresh_id());
-    let large = large.body(Full::from(vec![0; 70_000])).unwrap();
+    let large = request("POST", HOST, "/desk/7", Some(&fresh_id()), vec![0; 70_000]).unwrap();
     assert_eq!(ask_with(address, large).await.unwrap().status, 413);
 }
--- a/crates/sassafrasproxy-cli/tests/gateway_relays.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_relays.rs
@@ -17,7 +17,7 @@
 async fn start() -> System {
     let system = System::start(2).await;
     for shard in 0..SHARDS {
-        system.store.remove(&format!("servers/s{shard}a"));
+        system.store.unlist(&format!("s{shard}a"));
     }
     system.ask_until(0, "/all/7", is_whole).await;
     let end = Instant::now() + PATIENCE;
@@ -32,8 +32,8 @@
 fn is_whole(answer: &CallerAnswer) -> bool {
     let greatest: Vec<u8> = (0..3).flat_map(|at| record(200 + SHARDS as u8 - 1 - at)).collect();
     answer.status == 200
-        && answer.header("x-missing-parts") == "0"
-        && answer.header("x-part-stamps").split(", ").count() == SHARDS
+        && answer.missing_parts() == Some(0)
+        && answer.part_stamps().len() == SHARDS
         && answer.body[..] == greatest
 }
 
@@ -65,7 +65,7 @@
         system.replica("s1b").set(behavior.clone());
         let answer = system.ask(0, "/all/7").await;
         assert_eq!(answer.status, 200, "{behavior:?}");
-        assert_eq!(answer.header("x-missing-parts"), "1", "{behavior:?}");
+        assert_eq!(answer.missing_parts(), Some(1), "{behavior:?}");
     }
 }
 
--- a/crates/sassafrasproxy-cli/tests/gateway_settings.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_settings.rs
@@ -6,21 +6,15 @@
 
 use std::time::{Duration, Instant};
 
-use http::Request;
-use http_body_util::Full;
 use nix::sys::signal::Signal;
-use sassafrasproxy_platform_standin::ask_with;
-use serde_json::{Value, json};
+use sassafrasproxy_platform_standin::ask_directory;
+use serde_json::json;
 
 use crate::gateway::{PATIENCE, System};
 
 /// How long callers are told to keep an address list, in seconds.
 async fn keep_s(system: &System) -> u64 {
-    let request = Request::get("/resolve?name=shop.example&region=r&zone=west");
-    let request = request.header("host", "directory").body(Full::default()).unwrap();
-    let answer = ask_with(system.gateways[0].directory(), request).await.unwrap();
-    let body: Value = serde_json::from_slice(&answer.body).unwrap();
-    body["ttl_s"].as_u64().unwrap()
+    ask_directory(system.gateways[0].directory(), "west").await.unwrap().keep_s
 }
 
 async fn wait_for_keep(system: &System, expected_s: u64) {
--- a/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
@@ -6,10 +6,8 @@
 
 use std::time::Duration;
 
-use http::Request;
-use http_body_util::Full;
 use nix::sys::signal::Signal;
-use sassafrasproxy_platform_standin::{Behavior, ask, ask_with};
+use sassafrasproxy_platform_standin::{Behavior, ask, ask_ready};
 
 use crate::gateway::{HOST, System, fresh_id};
 
@@ -28,8 +26,7 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         system.gateways[0].signal(Signal::SIGTERM).unwrap();
         system.gateways[0].wait_for_line("the node is leaving").unwrap();
-        let ready = Request::get("/ready").header("host", "h").body(Full::default()).unwrap();
-        assert_eq!(ask_with(system.gateways[0].ready(), ready).await.unwrap().status, 503);
+        assert!(!ask_ready(system.gateways[0].ready()).await.unwrap());
     };
     let (answer, ()) = tokio::join!(slow, told);
     let answer = answer.unwrap();
--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -6,31 +6,23 @@
 
 use std::time::{Duration, Instant};
 
-use http::Request;
-use http_body_util::Full;
 use nix::sys::signal::Signal;
-use sassafrasproxy_platform_standin::{StoreDoor, StoreMode, ask_with};
-use serde_json::{Value, json};
+use sassafrasproxy_platform_standin::{
+    CallerAnswer, DeclaredRoute, DeclaredTarget, StoreDoor, StoreMode, ask_directory,
+};
+use serde_json::Value;
 
-use crate::gateway::{HOST, PATIENCE, System, routes};
+use crate::gateway::{PATIENCE, System, route, routes};
 
 /// The addresses that a gateway's directory names.
 async fn named(system: &System, gateway: usize) -> Vec<String> {
-    let request = Request::get("/resolve?name=shop.example&region=r&zone=west");
-    let request = request.header("host", "directory").body(Full::default()).unwrap();
-    let answer = ask_with(system.gateways[gateway].directory(), request).await.unwrap();
-    let body: Value = serde_json::from_slice(&answer.body).unwrap();
-    let addresses = body["addrs"].as_array().unwrap().iter();
-    addresses.map(|address| address.as_str().unwrap().to_owned()).collect()
+    ask_directory(system.gateways[gateway].directory(), "west").await.unwrap().addresses
 }
 
-fn with_route(name: &str) -> Value {
+fn with_route(name: &str) -> Vec<DeclaredRoute> {
     let mut routes = routes();
-    routes.as_array_mut().unwrap().push(json!({
-        "name": name, "host": HOST, "prefix": format!("/{name}/"), "route_type": "idempotent",
-        "timeout_ms": 1_000, "latency_goal_ms": 400, "priority": 1, "service": "desk",
-        "max_attempts": 2,
-    }));
+    let desk = DeclaredTarget::Service("desk".into());
+    routes.push(route(name, &format!("/{name}/"), true, desk));
     routes
 }
 
@@ -45,7 +37,7 @@
     {
         system.store.set_mode(mode);
         let name = format!("new{at}");
-        system.publish(with_route(&name));
+        system.publish(&with_route(&name));
         system.store.forget();
         for _ in 0..20 {
             assert_eq!(system.ask(0, "/desk/7").await.status, 200, "{mode:?}");
@@ -61,8 +53,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn small_pages() {
     let mut system = System::start(0).await;
-    system.store.put("servers/forged", b"\xff\xfe");
-    system.store.put("servers/half", br#"{"service":"desk"}"#);
+    system.store.spoil_replica("forged", b"\xff\xfe");
+    system.store.spoil_replica("half", br#"{"service":"desk"}"#);
     system.store.put("somebody/else", b"x");
     system.store.set_page(3);
     let at = system.add_gateway();
@@ -124,11 +116,8 @@
 async fn replica_leaves() {
     let system = System::start(1).await;
     system.replica("da").register(&system.store, "west", "draining");
-    let answered_by = |id: &'static str| {
-        move |answer: &sassafrasproxy_platform_standin::CallerAnswer| {
-            answer.header("x-server-stamp").starts_with(id)
-        }
-    };
+    let answered_by =
+        |id: &'static str| move |answer: &CallerAnswer| answer.stamp().starts_with(id);
     tokio::time::sleep(Duration::from_millis(600)).await;
     let before = system.replica("da").arrivals().len();
     for _ in 0..20 {
@@ -136,7 +125,7 @@
     }
     assert_eq!(system.replica("da").arrivals().len(), before, "new work after it left");
     system.replica("da").register(&system.store, "west", "ready");
-    system.store.remove("servers/db");
+    system.store.unlist("db");
     system.ask_until(0, "/desk/7", answered_by("da")).await;
 }
 
@@ -144,17 +133,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn domain_out() {
     let system = System::start(1).await;
-    system.store.put("op/evacuate/west", "{}");
-    system
-        .ask_until(0, "/desk/7", |answer| answer.header("x-server-stamp").starts_with("db"))
-        .await;
-    system.store.put("op/evacuate/east", "{}");
+    system.store.take_out("west");
+    system.ask_until(0, "/desk/7", |answer| answer.stamp().starts_with("db")).await;
+    system.store.take_out("east");
     let answer = system.ask_until(0, "/desk/7", |answer| answer.status == 503).await;
-    assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
-    system.store.remove("op/evacuate/west");
-    system
-        .ask_until(0, "/desk/7", |answer| answer.header("x-server-stamp").starts_with("da"))
-        .await;
+    assert!(answer.retry_after_s() > 0.0);
+    system.store.bring_back("west");
+    system.ask_until(0, "/desk/7", |answer| answer.stamp().starts_with("da")).await;
 }
 
 /// More nodes than watch the store: the others follow them, and a configuration, a replica that
@@ -171,13 +156,11 @@
         assert!(Instant::now() < end, "nobody follows a peer");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    system.publish(with_route("late"));
-    system.store.put("op/evacuate/west", "{}");
+    system.publish(&with_route("late"));
+    system.store.take_out("west");
     for at in 0..11 {
         system.ask_until(at, "/late/7", |answer| answer.status == 200).await;
-        let is_east = |answer: &sassafrasproxy_platform_standin::CallerAnswer| {
-            answer.header("x-server-stamp").starts_with("db")
-        };
+        let is_east = |answer: &CallerAnswer| answer.stamp().starts_with("db");
         system.ask_until(at, "/late/7", is_east).await;
     }
 }
@@ -250,7 +233,7 @@
 
 /// Takes a replica's entry away: the node sends nothing to it once it could have heard of that.
 async fn remove_replica(system: &TurnedAway) {
-    system.store.remove("servers/da");
+    system.store.unlist("da");
     // Longer than lapsed entries may take to be back.
     tokio::time::sleep(Duration::from_secs(4)).await;
     let before = system.replica("da").arrivals().len();
--- a/crates/sassafrasproxy-cli/tests/request_story.rs
+++ b/crates/sassafrasproxy-cli/tests/request_story.rs
@@ -19,7 +19,7 @@
         system.replica(id).set(Behavior::Failing);
     }
     let answer = ask(system.gateways[1].callers(), HOST, "/all/7", "complaint", 2_000).await;
-    assert_eq!(answer.unwrap().header("x-missing-parts"), "1");
+    assert_eq!(answer.unwrap().missing_parts(), Some(1));
     system.gateways[1].wait_for_line("shards are left out").unwrap();
     let dir = tempfile::TempDir::new().unwrap();
     let files = system.gateways.iter().enumerate().map(|(at, gateway)| {
--- a/crates/sassafrasproxy-soak/src/check.rs
+++ b/crates/sassafrasproxy-soak/src/check.rs
@@ -109,16 +109,16 @@
 
 /// A single answer is the replica's own, to this request.
 fn wrong_single(answer: &CallerAnswer, attempt: &str) -> Option<String> {
-    let is_own = answer.header("x-attempt-id") == attempt;
+    let is_own = answer.attempt_id() == attempt;
     let is_whole = answer.body == record(2 * SHARDS as u8);
     (!is_own || !is_whole).then(|| format!("not the replica's answer: {answer:?}"))
 }
 
 /// A merged answer names each part once, and holds the greatest records of just these parts.
 fn wrong_merge(answer: &CallerAnswer) -> Option<String> {
-    let stamps: Vec<&str> = answer.header("x-part-stamps").split(", ").collect();
+    let stamps = answer.part_stamps();
     let shards: Option<IndexSet<u8>> = stamps.iter().map(|stamp| shard_of(stamp)).collect();
-    let missing: usize = answer.header("x-missing-parts").parse().ok()?;
+    let missing = answer.missing_parts()?;
     let Some(mut shards) = shards.filter(|shards| shards.len() == stamps.len()) else {
         return Some(format!("a shard that is no shard, or one twice: {stamps:?}"));
     };
--- a/crates/sassafrasproxy-soak/src/fleet.rs
+++ b/crates/sassafrasproxy-soak/src/fleet.rs
@@ -7,9 +7,9 @@
 use eyre::Result;
 use nix::sys::signal::Signal;
 use sassafrasproxy_platform_standin::{
-    Behavior, GatewayProcess, ReplicaStandIn, StoreMode, StoreStandIn,
+    Behavior, DeclaredRoute, DeclaredTarget, GatewayProcess, ReplicaStandIn, StoreMode,
+    StoreStandIn,
 };
-use serde_json::{Value, json};
 
 use crate::plan::Fault;
 
@@ -116,7 +116,7 @@
             Fault::ReplicaCrosses(at) => self.replicas[at].set(Behavior::Crossed),
             Fault::ReplicaSound(at) => self.replicas[at].set(Behavior::Answering(0)),
             Fault::ReplicaDrains(at) => self.register(at, "draining"),
-            Fault::ReplicaUnlisted(at) => self.store.remove(&format!("servers/r{at}")),
+            Fault::ReplicaUnlisted(at) => self.store.unlist(&format!("r{at}")),
             Fault::ReplicaListed(at) => self.register(at, "ready"),
             Fault::Configure => self.configure(),
             Fault::StoreRefuses => self.store.set_mode(StoreMode::Refusing(503)),
@@ -154,36 +154,20 @@
 
     fn configure(&mut self) {
         self.version += 2;
-        let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
-        let route = |name: &str, prefix: &str, kind: &str, more: Value| {
-            let mut route = json!({
-                "name": name, "host": "soak.example", "prefix": prefix, "route_type": kind,
-                "timeout_ms": 600, "latency_goal_ms": 200, "priority": 1, "max_attempts": 2,
-            });
-            route.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
-            route
-        };
-        let gather = json!({ "gather": shards, "top_k": 2, "min_coverage": 0.5 });
-        let services: Vec<Value> = shards
-            .iter()
-            .map(String::as_str)
-            .chain(["desk"])
-            .map(|name| json!({ "name": name, "health_path": "/health", "max_connections": 64 }))
-            .collect();
-        let configuration = json!({
-            "version": self.version,
-            "routes": [
-                route("all", "/all/", "idempotent", gather),
-                route("one", "/one/", "idempotent", json!({ "service": "desk" })),
-                route("order", "/order/", "non_idempotent", json!({ "service": "desk" })),
-            ],
-            "services": services,
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
+        let services = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
+        let gather = DeclaredTarget::Gather { services, top_k: 2, min_coverage: 0.5 };
+        let desk = DeclaredTarget::Service("desk".into());
+        let routes = [("all", true, gather), ("one", true, desk.clone()), ("order", false, desk)];
+        let routes = routes.map(|(name, is_idempotent, target)| DeclaredRoute {
+            name: name.into(),
+            host: "soak.example".into(),
+            prefix: format!("/{name}/"),
+            is_idempotent,
+            timeout_ms: 600,
+            goal_ms: 200,
+            target,
         });
-        self.store.put("op/config", configuration.to_string());
+        self.store.publish(self.version, &routes);
     }
 }
 
