--- /dev/null
+++ b/crates/sassafrasproxy-config/tests/gateway_files.rs
@@ -0,0 +1,58 @@
+//! The settings of a gateway, and what is said of wrong ones.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use sassafrasproxy_config::GatewaySettings;
+
+const GOOD: &str = "\
+name: vm-1
+failure_domain: galway-1
+callers_listen: 127.0.0.1:8104
+ready_listen: 127.0.0.1:8108
+directory_listen: 127.0.0.1:8100
+peer_listen: 127.0.0.1:8106
+relay_listen: 127.0.0.1:7380
+store: 127.0.0.1:8102
+seeds: [\"127.0.0.2:8106\"]
+cpu_share: 0.25
+address_keep_ms: 1000
+grace_ms: 6000
+retry_budget: { ratio: 0.2, fixed: 56, window_ms: 10000 }
+warmup: { factor: 1.5, slack: 5 }
+";
+
+#[test]
+fn good() {
+    let settings = GatewaySettings::parse("gateway.yaml", GOOD).unwrap();
+    assert_eq!(settings.name, "vm-1");
+    assert_eq!(settings.seeds.len(), 1);
+    assert_eq!(settings.metrics_listen, None);
+    assert_eq!((settings.retry_budget.ratio, settings.warmup.slack), (0.2, 5.0));
+}
+
+/// Each wrong file is named with the line and the field, and with what to write instead.
+#[test]
+fn wrong() {
+    let cases = [
+        ("missing", GOOD.replace("grace_ms: 6000\n", ""), 0, "grace_ms"),
+        ("unknown", format!("{GOOD}colour: red\n"), 15, "colour"),
+        ("empty", GOOD.replace("vm-1", "\"\""), 1, "`name`"),
+        ("host name", GOOD.replace("127.0.0.1:8104", "localhost:8104"), 3, "`callers_listen`"),
+        ("no port", GOOD.replace("127.0.0.1:8102", "127.0.0.1"), 8, "`store`"),
+        ("bad seed", GOOD.replace("127.0.0.2:8106", "peer"), 9, "`seeds`"),
+        ("no core", GOOD.replace("0.25", "-1"), 10, "`cpu_share`"),
+        ("no keep time", GOOD.replace("1000\n", "0\n"), 11, "`address_keep_ms`"),
+        ("negative", GOOD.replace("ratio: 0.2", "ratio: -0.2"), 13, "`retry_budget.ratio`"),
+        ("no window", GOOD.replace("10000", "0"), 13, "`retry_budget.window_ms`"),
+        ("not a number", GOOD.replace("slack: 5", "slack: .nan"), 14, "`warmup.slack`"),
+    ];
+    for (name, text, line, field) in cases {
+        let problem = GatewaySettings::parse("gateway.yaml", &text).unwrap_err();
+        let said = problem.to_string();
+        assert!(said.contains(field), "{name}: {said}");
+        assert!(said.contains("hint: "), "{name}: {said}");
+        if line > 0 {
+            assert_eq!(problem.line, line, "{name}: {said}");
+        }
+    }
+}
