Take a peer's word that entries are gone also from a peer that the store turns away

Cause, by reading what the node does with a peer's answer: if the best informed peer was itself turned away and had its facts from others, the node went on taking the store to be away for all, held the entry back, and asked nobody again. Whoever read the store says how long lapsed entries may take, and that is passed on, so a peer's word is enough.

--- a/crates/sassafrasproxy-core/src/forward/discovery.rs
+++ b/crates/sassafrasproxy-core/src/forward/discovery.rs
@@ -51,9 +51,9 @@
         /// The time.
         until_us: u64,
     },
-    /// A peer that the store serves tells what it knows: the store is away for this node only,
-    /// so entries did not lapse, and one that goes is a replica that leaves.
-    PeerFollowsStore,
+    /// What follows comes from a peer that knows more of the store: the store serves somebody, so
+    /// entries did not lapse for all. How long those that did may take, the peer says itself.
+    PeerTells,
     /// The store stopped answering.
     StoreLost,
     /// The store answers again.
@@ -162,7 +162,7 @@
             DiscoveryEvent::HoldUntil { until_us } => {
                 self.hold_until_us = self.hold_until_us.max(until_us);
             }
-            DiscoveryEvent::PeerFollowsStore => self.is_store_away = false,
+            DiscoveryEvent::PeerTells => self.is_store_away = false,
             DiscoveryEvent::StoreLost => self.is_store_away = true,
             DiscoveryEvent::StoreBack => self.come_back(now_us),
             DiscoveryEvent::Tick => self.drop_held(now_us),
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -178,7 +178,7 @@
     let mut discovery = listed();
     discovery.take_catalogue();
     discovery.step(10_000_000, DiscoveryEvent::StoreLost);
-    discovery.step(11_000_000, DiscoveryEvent::PeerFollowsStore);
+    discovery.step(11_000_000, DiscoveryEvent::PeerTells);
     discovery.step(11_000_000, gone("a", 8));
     assert_eq!(open(&discovery.take_catalogue().unwrap()), ["b"]);
 }
--- a/crates/sassafrasproxy-gateway/src/peer_facts.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_facts.rs
@@ -171,9 +171,9 @@
 /// Takes what a peer told in.
 fn learn(state: &ControlState, told: PeerFacts) {
     let hold_until_us = state.clock.now_us() + told.hold_ms * US_PER_MS;
-    if !told.is_store_away {
-        state.discover([DiscoveryEvent::PeerFollowsStore]);
-    }
+    // Also from a peer that has it from others: whoever read the store says how long entries
+    // that lapsed may take, and that is passed on.
+    state.discover([DiscoveryEvent::PeerTells]);
     let revision = told.revision;
     let hold = (told.hold_ms > 0).then_some(DiscoveryEvent::HoldUntil { until_us: hold_until_us });
     if !told.is_change {
