Look a route's times up once for an ask of a relay, and say which figures are assumed

Cause: reading the change again. A relay scanned all routes by name for each part of an ask, up to 1,400 routes times some twenty parts where a configuration is large. Now once an ask; what is sent stays the same. Not measured on its own: no figure is claimed. Two comments named figures that no run gave (25 us to read a part, 100 ms to read the store): they now give the measured ones, or say assumed.

--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -19,7 +19,8 @@
 
 /// When a caller may come back to a node that knows no configuration yet, in milliseconds.
 ///
-/// A node that starts has read the store after about 100 ms.
+/// A node that started in a played day had its configuration 15 ms later; on a slow VM, or with
+/// the store just back, it takes longer.
 const NO_CONFIGURATION_RETRY_MS: u64 = 200;
 
 /// When a request that crashes replicas may come back, in milliseconds: when the reports on it
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -28,7 +28,8 @@
 
 /// What is kept for each shard besides: parts that came at the same time are read first.
 ///
-/// Reading a part takes some 25 us of a core, 50 us on half of one.
+/// Assumed: a part took 68 us of a core in all on a calm day (2.75 s over 40,195 sends), of which
+/// reading the answer is the smaller part.
 const PART_US: u64 = 50;
 
 /// From how many parts of one failure domain on a relay there is asked for them.
--- a/crates/sassafrasproxy-gateway/src/peer_facts.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_facts.rs
@@ -1,4 +1,5 @@
-//! Learning from a peer what the store would tell, while the store turns this node away.
+//! Learning from a peer what the store would tell: in a large fleet always, and while the store
+//! turns this node away.
 
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -10,7 +10,7 @@
 use futures_util::{SinkExt, StreamExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use indexmap::IndexMap;
-use sassafrasproxy_core::{SendId, merge_records};
+use sassafrasproxy_core::{SendId, SendTimes, merge_records};
 use sassafrasproxy_wire::{
     RelayAsk, RelayEnd, RelayPart, RelayPartEnd, RelayReply, RelayRequest, ReplicaEntry,
 };
@@ -130,8 +130,9 @@
     let request = Rc::new(request);
     let (ends, mut ended) = mpsc::unbounded_channel();
     let mut sends = Sends::default();
+    let times = traffic.known_times(&ask.route);
     for part in &ask.parts {
-        sends.push(start_part(&traffic, &ask, part, &request, ends.clone()));
+        sends.push(start_part(&traffic, &ask, part, &request, times, ends.clone()));
     }
     let mut left = ask.parts.len();
     let mut ready: Vec<(usize, SendEnd)> = Vec::new();
@@ -159,10 +160,10 @@
     ask: &RelayAsk,
     part: &RelayPart,
     request: &Rc<CallerRequest>,
+    times: Option<SendTimes>,
     ends: mpsc::UnboundedSender<(usize, SendEnd)>,
 ) -> AbortHandle {
     traffic.metrics.sends.get_or_create(&OfKind::new("relayed")).inc();
-    let times = traffic.known_times(&ask.route);
     let now_us = traffic.clock.now_us();
     let send = times.and_then(|times| {
         let mut pool = traffic.pool.borrow_mut();
