Wait in a test until a node has heard from all members which revision they follow

A member's revision travels with its heartbeats, so it was still 0 where the heartbeat was due (traced by reading MemberTable::note_heard, the one place that sets it). The node's own revision is still checked at once; the other member's must arrive.

--- a/crates/sassafrasproxy-cli/tests/operators.rs
+++ b/crates/sassafrasproxy-cli/tests/operators.rs
@@ -6,10 +6,11 @@
 
 use std::path::Path;
 use std::process::Output;
+use std::time::{Duration, Instant};
 
 use sassafrasproxy_standin::{Outage, PlatformFaults, run_command};
 use serde_json::Value;
-use support::{System, ask_until_full, binary};
+use support::{PATIENCE, System, ask_until_full, binary};
 use tempfile::TempDir;
 
 fn run(words: &[&str]) -> (i32, String, String) {
@@ -33,6 +34,21 @@
     std::fs::write(dir.join(format!("{name}.sassafras.yaml")), text).unwrap();
 }
 
+/// Waits until a node has heard from all members that they follow a revision. A member's own word
+/// travels with its heartbeats, so another node's status shows it up to an interval later.
+async fn wait_until_all_follow(node: &str, revision: u64) {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let (_, status) = json(&["status", "--node", node]);
+        let members = status["members"].as_array().unwrap();
+        if members.iter().all(|member| member["revision"] == revision) {
+            return;
+        }
+        assert!(Instant::now() < end, "never heard from all: {members:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[test]
 fn usage() {
     for words in [&["--help"][..], &["run", "--help"], &["domain", "out", "--help"]] {
@@ -121,7 +137,9 @@
     assert_eq!((code, status["revision"].as_u64()), (0, Some(1)));
     let members = status["members"].as_array().unwrap();
     assert_eq!(members.len(), 2);
-    assert!(members.iter().all(|member| member["revision"] == 1), "its own too: {members:?}");
+    let own = members.iter().find(|member| member["node"] == "vm-0").unwrap();
+    assert_eq!(own["revision"], 1, "its own is known at once: {members:?}");
+    wait_until_all_follow(&node, 1).await;
     let (code, list) = json(&["addresses", "--node", &node, "--failure-domain", "galway-2"]);
     assert_eq!(code, 0);
     assert_eq!(list["addresses"][0]["failure_domain"], "galway-2", "its own domain first");
