Keep work away from a replica whose answers are no good

Cause: where one replica of a group answers every request with another request's id (or garbage, or a failure of its own), its sends end at once, so it is the idlest and is asked first for everything. Each failure takes a second send; the budget for these (5 %, ten saved) is spent within seconds, and from then on the shard is left out, though the sibling is sound. Ruled out: the check of ids (no crossed answer was merged) and the choice of the second send (it went to the sibling, while the budget lasted).

--- a/crates/sassafrasproxy-cli/tests/true_answers.rs
+++ b/crates/sassafrasproxy-cli/tests/true_answers.rs
@@ -70,6 +70,18 @@
     }
 }
 
+// One replica of a service answers every request with another request's id, for as long as it
+// runs. Its sibling is sound, so callers must get whole answers: the budget for second sends,
+// which covers the first few, must not be spent on that replica for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_for_long() {
+    let system = start().await;
+    system.upstreams[0].1.switch(UpstreamFault::CrossAnswers(true));
+    let (full, sent) = check_for(system.nodes[0].address(), 300).await;
+    println!("{full} of {sent} in full");
+    assert!(full * 10 > sent * 9, "{full} of {sent}");
+}
+
 // Something in between forgets every open connection, under load. Nobody may wait for good.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections() {
--- a/crates/sassafrasproxy-core/src/lane/dispatch.rs
+++ b/crates/sassafrasproxy-core/src/lane/dispatch.rs
@@ -85,7 +85,8 @@
         if holders.is_empty() {
             return Choice::Refuse(self.no_holder_reason(&state.sub.shard));
         }
-        let Some(best) = self.best(now_us, state, &holders) else { return Choice::Wait };
+        let sound = without_faulty(now_us, holders);
+        let Some(best) = self.best(now_us, state, &sound) else { return Choice::Wait };
         let address = best.spec.address.clone();
         if state.owes && !self.budget.spend() {
             let reason = state.last_reason.unwrap_or(Reason::UpstreamFailed);
@@ -215,6 +216,7 @@
         let others = self.replicas.values().filter(|one| one.spec.address != first.replica);
         let holders: Vec<&Replica> =
             others.filter(|one| one.holds(state.sub.snapshot, &state.sub.shard, now_us)).collect();
+        let holders = without_faulty(now_us, holders);
         let is_apart = |one: &&&Replica| Some(&one.spec.failure_domain) != first_domain;
         let apart: Vec<&Replica> = holders.iter().filter(is_apart).copied().collect();
         let Some(best) =
@@ -262,6 +264,13 @@
     }
 }
 
+/// The replicas that are not avoided for their faults; all of them where that leaves none.
+fn without_faulty(now_us: u64, replicas: Vec<&Replica>) -> Vec<&Replica> {
+    let sound: Vec<&Replica> =
+        replicas.iter().copied().filter(|replica| !replica.faults.is_avoided(now_us)).collect();
+    if sound.is_empty() { replicas } else { sound }
+}
+
 /// What to do with a sub-request that wants a slot.
 #[derive(Debug, PartialEq, Eq)]
 enum Choice {
--- a/crates/sassafrasproxy-core/src/lane/mod.rs
+++ b/crates/sassafrasproxy-core/src/lane/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod dispatch;
+mod faults;
 mod home;
 mod latency;
 mod message;
--- a/crates/sassafrasproxy-core/src/lane/replica.rs
+++ b/crates/sassafrasproxy-core/src/lane/replica.rs
@@ -6,6 +6,7 @@
     HeldSnapshot, ReplicaHandOver, SnapshotId, UpstreamState, UpstreamStatus,
 };
 
+use super::faults::FaultStreak;
 use super::{LanePolicy, ReplicaSpec, StatusReport};
 
 /// A replica that dies this soon after its limit grew must earn the next slot more slowly.
@@ -47,6 +48,8 @@
     pub vm_leaving: bool,
     /// Whether its failure domain is out.
     pub domain_out: bool,
+    /// Answers in a row that were no good.
+    pub faults: FaultStreak,
     boot_id: Option<EcoString>,
     boot_at_loss: Option<EcoString>,
     held: Vec<HeldSnapshot>,
@@ -129,6 +132,7 @@
             lost_under: IndexSet::new(),
             vm_leaving: false,
             domain_out: false,
+            faults: FaultStreak::default(),
             boot_id: None,
             boot_at_loss: None,
             held: Vec::new(),
@@ -169,7 +173,11 @@
     /// The next time at which room may appear by itself.
     pub fn wake_us(&self, now_us: u64) -> Option<u64> {
         let lent_until_us = if self.lent > 0 { self.lent_until_us } else { 0 };
-        [self.paused_until_us, lent_until_us].into_iter().filter(|at_us| *at_us > now_us).min()
+        let retry_us = self.faults.retry_us(now_us).unwrap_or(0);
+        [self.paused_until_us, lent_until_us, retry_us]
+            .into_iter()
+            .filter(|at_us| *at_us > now_us)
+            .min()
     }
 
     /// Whether it holds a shard of a snapshot, as far as it said.
@@ -213,6 +221,7 @@
         may_grow: bool,
     ) -> Change {
         self.last_answer_us = now_us;
+        self.faults.note_good();
         let norm_us = self.norm_us.unwrap_or(latency_us as f64);
         let is_slow = latency_us as f64 > norm_us * policy.slow_factor;
         self.slow_answers = if is_slow { self.slow_answers + 1 } else { 0 };
--- a/crates/sassafrasproxy-core/src/lane/results.rs
+++ b/crates/sassafrasproxy-core/src/lane/results.rs
@@ -33,13 +33,13 @@
             AttemptResult::TimedOut => self.failed(&attempt, Reason::DeadlineExceeded),
             AttemptResult::Mismatched => {
                 self.condemn(&attempt.replica);
-                self.failed(&attempt, Reason::Mismatched);
+                self.faulty(now_us, &attempt, Reason::Mismatched);
             }
             AttemptResult::Malformed => {
                 self.condemn(&attempt.replica);
-                self.failed(&attempt, Reason::Malformed);
+                self.faulty(now_us, &attempt, Reason::Malformed);
             }
-            AttemptResult::Failed => self.failed(&attempt, Reason::UpstreamFailed),
+            AttemptResult::Failed => self.faulty(now_us, &attempt, Reason::UpstreamFailed),
         }
     }
 
@@ -104,6 +104,14 @@
         self.failed(attempt, Reason::ConnectionLost);
     }
 
+    /// Ends a send whose answer was no good, and keeps work away from a replica that gives several.
+    fn faulty(&mut self, now_us: u64, attempt: &Attempt, reason: Reason) {
+        if let Some(replica) = self.replicas.get_mut(&attempt.replica) {
+            replica.faults.note_fault(now_us);
+        }
+        self.failed(attempt, reason);
+    }
+
     /// Ends a send that may have run.
     fn failed(&mut self, attempt: &Attempt, reason: Reason) {
         self.try_again(attempt, reason, true);
