--- a/crates/sassafrasproxy-core/tests/caller_delays.rs
+++ b/crates/sassafrasproxy-core/tests/caller_delays.rs
@@ -53,3 +53,41 @@
     }
     assert_eq!(delays.note(&route, 500), 0);
 }
+
+/// Callers are 7 ms away with their connect. One gap in 130 is shorter, for reasons of the
+/// caller's own. Taken for the round trip, it moved the time at which answers stop waiting for
+/// their last parts 5 ms back: each of them reached its caller late, for a tenth of its worth.
+#[test]
+fn stray_gaps() {
+    let mut delays = CallerDelays::default();
+    let route = "r".into();
+    for at in 0..2_600 {
+        let gap_ms = match at % 130 {
+            0 => 2 + at / 130 % 4,
+            at if at % 20 == 1 => 7,
+            at if at % 3 == 0 => 15,
+            _ => 0,
+        };
+        delays.note(&route, 600 - gap_ms);
+        if at >= 130 {
+            assert!((6_000..=7_000).contains(&delays.round_trip_us()), "request {at}");
+        }
+    }
+}
+
+/// A node has just started, and most callers ask the directory and connect first. The deadlines
+/// are those of a node's first four seconds; until the sixth 300 ms came, callers whose time
+/// started 15 ms ago counted as if it had started now, and got their answers late.
+#[test]
+fn first_seconds() {
+    let mut delays = CallerDelays::default();
+    let route = "r".into();
+    let first =
+        [278, 277, 279, 278, 279, 285, 285, 278, 300, 278, 278, 279, 286, 286, 278, 283, 300];
+    for deadline_ms in first {
+        delays.note(&route, deadline_ms);
+    }
+    assert_eq!(delays.note(&route, 285), 15_000);
+    assert_eq!(delays.note(&route, 278), 22_000);
+    assert!((6_000..=7_000).contains(&delays.round_trip_us()));
+}
