Write a process's last log lines before it ends

Change: the process waits for the writer, 200 ms at the most, so that a reader that stalls holds nothing up. Test last_line asks until the process is gone and wants its last line; it failed first.

--- a/crates/sassafrasproxy-cli/src/gateway.rs
+++ b/crates/sassafrasproxy-cli/src/gateway.rs
@@ -23,15 +23,20 @@
             return End::Usage.into();
         }
     };
-    if let Err(error) = logging::start(LogOutput::Stdout) {
-        eprintln!("error: cannot start the thread for logs: {error}");
-        return End::Refused.into();
-    }
-    match Gateway::bind(settings, path.clone()).and_then(Gateway::run) {
-        Ok(()) => End::Done.into(),
+    let logs = match logging::start(LogOutput::Stdout) {
+        Ok(logs) => logs,
+        Err(error) => {
+            eprintln!("error: cannot start the thread for logs: {error}");
+            return End::Refused.into();
+        }
+    };
+    let end = match Gateway::bind(settings, path.clone()).and_then(Gateway::run) {
+        Ok(()) => End::Done,
         Err(error) => {
             eprintln!("error: {error}");
-            End::Refused.into()
+            End::Refused
         }
-    }
+    };
+    logs.finish();
+    end.into()
 }
--- a/crates/sassafrasproxy-cli/src/logging.rs
+++ b/crates/sassafrasproxy-cli/src/logging.rs
@@ -2,8 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread::sleep;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender, channel, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use env_logger::{Builder, Env, Target};
@@ -25,6 +24,10 @@
 /// How often waiting lines are written, so that one wake-up serves many.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long the end of the process waits for the last lines, so that a reader that stalls does not
+/// hold it up.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Lines that were dropped and not yet told of.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -37,12 +40,44 @@
     Stdout,
 }
 
+/// What ends logging.
+///
+/// Guards against the loss of a process's last lines, its stop among them: they wait for the next
+/// write, and the process would end before it.
+#[derive(Debug)]
+pub enum LogEnd {
+    /// Nothing waits.
+    Written,
+    /// A thread writes what waits.
+    Waiting {
+        /// Dropped to say that no further line comes.
+        more: Sender<()>,
+        /// Closed once all is written.
+        done: Receiver<()>,
+    },
+}
+
+impl LogEnd {
+    /// Has the last lines written, or gives up after a moment.
+    pub fn finish(self) {
+        let Self::Waiting { more, done } = self else { return };
+        drop(more);
+        // A reader that stalls costs the last lines.
+        let _ = done.recv_timeout(FINISH_LIMIT);
+    }
+}
+
 /// Starts logging; `RUST_LOG` sets the level, `info` if absent.
-pub fn start(output: LogOutput) -> io::Result<()> {
+pub fn start(output: LogOutput) -> io::Result<LogEnd> {
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
-    if output == LogOutput::Stdout {
-        builder.target(Target::Pipe(Box::new(LineQueue::start()?)));
-    }
+    let end = match output {
+        LogOutput::Stderr => LogEnd::Written,
+        LogOutput::Stdout => {
+            let (queue, end) = LineQueue::start()?;
+            builder.target(Target::Pipe(Box::new(queue)));
+            end
+        }
+    };
     builder
         .format(|buffer, record| {
             let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -62,7 +97,7 @@
             writeln!(buffer, "{line}")
         })
         .init();
-    Ok(())
+    Ok(end)
 }
 
 /// Writes the fields of a log record into its line.
@@ -87,10 +122,15 @@
 }
 
 impl LineQueue {
-    fn start() -> io::Result<Self> {
+    fn start() -> io::Result<(Self, LogEnd)> {
         let (lines, waiting) = sync_channel(MAX_WAITING);
-        std::thread::Builder::new().name("logs".into()).spawn(move || write_lines(&waiting))?;
-        Ok(Self { lines })
+        let (more, has_more) = channel();
+        let (writing, done) = channel();
+        std::thread::Builder::new().name("logs".into()).spawn(move || {
+            write_lines(&waiting, &has_more);
+            drop(writing);
+        })?;
+        Ok((Self { lines }, LogEnd::Waiting { more, done }))
     }
 }
 
@@ -107,24 +147,33 @@
     }
 }
 
-/// Writes what waits, some times a second, until the process ends.
-fn write_lines(waiting: &Receiver<Vec<u8>>) {
+/// Writes what waits, some times a second, until no further line comes.
+fn write_lines(waiting: &Receiver<Vec<u8>>, has_more: &Receiver<()>) {
     while let Ok(first) = waiting.recv() {
-        let mut batch = first;
-        for line in waiting.try_iter() {
-            batch.extend_from_slice(&line);
-        }
-        let dropped = DROPPED.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
-            let line = json!({ "level": "WARN", "target": "logs", "dropped_lines": dropped });
-            batch.extend_from_slice(format!("{line}\n").as_bytes());
-        }
-        if write_batch(&batch).is_err() {
+        if write_waiting(first, waiting).is_err() {
             // Nobody reads: there is no other place to say so.
             return;
         }
-        sleep(WRITE_INTERVAL);
+        if has_more.recv_timeout(WRITE_INTERVAL) == Err(RecvTimeoutError::Disconnected) {
+            // The same holds here.
+            let _ = write_waiting(Vec::new(), waiting);
+            return;
+        }
+    }
+}
+
+/// Writes a line and all that wait behind it.
+fn write_waiting(first: Vec<u8>, waiting: &Receiver<Vec<u8>>) -> io::Result<()> {
+    let mut batch = first;
+    for line in waiting.try_iter() {
+        batch.extend_from_slice(&line);
+    }
+    let dropped = DROPPED.swap(0, Ordering::Relaxed);
+    if dropped > 0 {
+        let line = json!({ "level": "WARN", "target": "logs", "dropped_lines": dropped });
+        batch.extend_from_slice(format!("{line}\n").as_bytes());
     }
+    write_batch(&batch)
 }
 
 /// Writes whole lines, some at a time.
--- a/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
@@ -34,3 +34,17 @@
     assert_eq!(answer.header("connection"), "close");
     assert!(system.gateways[0].wait().unwrap().success());
 }
+
+/// A node is told to stop. Whoever looks for the cause of a request's loss must find when it
+/// stopped: the last lines, which wait for the next write, must not be lost with the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn last_line() {
+    let mut system = System::start(1).await;
+    let address = system.gateways[0].callers();
+    let ask_until_gone =
+        async { while ask(address, HOST, "/desk/7", &fresh_id(), 2_000).await.is_ok() {} };
+    system.gateways[0].signal(Signal::SIGTERM).unwrap();
+    ask_until_gone.await;
+    assert!(system.gateways[0].wait().unwrap().success());
+    system.gateways[0].wait_for_line("the node has ended").unwrap();
+}
