Connect ahead of need once for each replica's life, not at each change

Each change of members or replicas (hundreds in the first seconds) tried for a connection to every own replica that had none idle, also while an earlier try was under way or the one connection was in use; and before relays were known, to replicas of all failure domains.

Change: a reducer, ConnectAhead, begins once for a replica's life, one try at a time, five at most with doubling pauses; other failure domains are left to their relays for the first second. Tests over_caps, busy_connection and born_again play the decisions.

--- a/crates/sassafrasproxy-core/src/forward/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller_delays;
 mod catalogue;
+mod connect_ahead;
 mod crash_watch;
 mod directory;
 mod discovery;
@@ -21,6 +22,7 @@
 
 pub use self::caller_delays::CallerDelays;
 pub use self::catalogue::{Catalogue, CatalogueReplica};
+pub use self::connect_ahead::{AheadStep, ConnectAhead};
 pub use self::crash_watch::{CrashReport, CrashWatch};
 pub use self::directory::{DirectoryNode, count_large, directory_addresses};
 pub use self::discovery::{Discovery, DiscoveryEvent, DiscoveryNote};
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -10,13 +10,14 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CallerDelays, Catalogue, CrashReport, CrashWatch, Fanout, FetchPlan, PoolSettings, RetryBudget,
-    RetryBudgetPolicy, RouteTimes, SendCause, SendTimes, SplitChooser, US_PER_MS, UpstreamPool,
-    count_large, directory_addresses,
+    AheadStep, CallerDelays, Catalogue, ConnectAhead, CrashReport, CrashWatch, Fanout, FetchPlan,
+    PoolSettings, RetryBudget, RetryBudgetPolicy, RouteTimes, SendCause, SendTimes, SplitChooser,
+    US_PER_MS, UpstreamPool, count_large, directory_addresses,
 };
-use sassafrasproxy_wire::{Route, RouteTarget, WeightedService};
+use sassafrasproxy_wire::{ReplicaEntry, Route, RouteTarget, WeightedService};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::connections::{Connections, connect};
 use crate::metrics::{GatewayMetrics, OfKind};
@@ -26,8 +27,12 @@
 /// How many nodes are counted on before any is known, for each node's share of what all share.
 const MIN_NODES: usize = 8;
 
+/// How long after its start a node waits for relays before it connects to other failure domains
+/// itself, in microseconds: peers are heard of within two heartbeats of half a second.
+const RELAYS_KNOWN_US: u64 = 1_000_000;
+
 /// How long a connection made ahead of need may take.
-const WARM_CONNECT_LIMIT: Duration = Duration::from_secs(1);
+const AHEAD_CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// Everything that serving requests needs; lives on the traffic thread.
 pub struct Traffic {
@@ -38,6 +43,7 @@
     pub budget: RefCell<RetryBudget>,
     pub relays: Relays,
     pub connections: RefCell<Connections>,
+    ahead: RefCell<ConnectAhead>,
     pub metrics: Arc<GatewayMetrics>,
     pub delays: RefCell<CallerDelays>,
     crash_watch: RefCell<CrashWatch>,
@@ -58,6 +64,7 @@
     address: EcoString,
     /// Where this node starts in the turn of splits, 0 to 1.
     spread: f64,
+    started_us: u64,
 }
 
 impl Traffic {
@@ -77,6 +84,7 @@
             relays: Relays::new(&settings),
             settings: RefCell::new(settings),
             connections: RefCell::default(),
+            ahead: RefCell::default(),
             metrics,
             delays: RefCell::default(),
             crash_watch: RefCell::default(),
@@ -88,6 +96,7 @@
             node_count: Cell::new(MIN_NODES),
             address,
             spread: rand::random(),
+            started_us: clock.now_us(),
         }
     }
 
@@ -208,14 +217,16 @@
         let open = catalogue.replicas.values().filter(|replica| replica.is_open).count();
         self.metrics.open_replicas.set(open as i64);
         self.connections.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
+        self.ahead.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.view.replace(view);
         if !self.is_named() {
             return;
         }
-        for (id, replica) in &catalogue.replicas {
-            let is_own = self.is_own(&replica.entry.failure_domain);
-            if is_own && replica.is_open && !self.connections.borrow().has_idle(id) {
-                spawn_local(self.clone().warm(id.clone(), replica.entry.address));
+        for replica in catalogue.replicas.values() {
+            let entry = &replica.entry;
+            let is_wanted = replica.is_open && self.is_own(now_us, &entry.failure_domain);
+            if is_wanted && self.ahead.borrow_mut().begin(&entry.id, entry.born_ms) {
+                spawn_local(self.clone().connect_ahead(entry.clone()));
             }
         }
     }
@@ -238,21 +249,32 @@
     /// Guards against a start of all nodes at once while replicas still hold the connections of
     /// the processes before: eight new ones to each replica were reset in their hundreds, and
     /// requests with them.
-    fn is_own(&self, domain: &str) -> bool {
-        *domain == self.settings().failure_domain || !self.relays.has_relay(domain)
+    fn is_own(&self, now_us: u64, domain: &str) -> bool {
+        let is_settled = now_us >= self.started_us + RELAYS_KNOWN_US;
+        *domain == self.settings().failure_domain || (is_settled && !self.relays.has_relay(domain))
     }
 
     /// Makes a connection to a replica before the first request needs it.
     ///
     /// The handshake takes a replica up to 6 ms, a seventh of the shortest latency goal; a new
     /// set of shards would pay it on every shard of its first query.
-    async fn warm(self: Rc<Self>, id: EcoString, address: std::net::SocketAddr) {
-        match connect(address, WARM_CONNECT_LIMIT).await {
-            Ok(sender) => {
-                let now_us = self.clock.now_us();
-                self.connections.borrow_mut().put(&id, sender, now_us, None);
+    async fn connect_ahead(self: Rc<Self>, entry: Arc<ReplicaEntry>) {
+        let is_open =
+            |id: &str| self.catalogue().replicas.get(id).is_some_and(|replica| replica.is_open);
+        while is_open(&entry.id) && !self.connections.borrow().has_idle(&entry.id) {
+            let error = match connect(entry.address, AHEAD_CONNECT_LIMIT).await {
+                Ok(sender) => {
+                    let now_us = self.clock.now_us();
+                    return self.connections.borrow_mut().put(&entry.id, sender, now_us, None);
+                }
+                Err(error) => error,
+            };
+            log::debug!(replica:% = entry.id, error:%; "a replica cannot be reached yet");
+            let step = self.ahead.borrow_mut().note_failed(&entry.id, entry.born_ms);
+            match step {
+                AheadStep::Retry { pause_us } => sleep(Duration::from_micros(pause_us)).await,
+                AheadStep::Leave => return,
             }
-            Err(error) => log::debug!(replica:% = id, error:%; "a replica cannot be reached yet"),
         }
     }
 }
