Let nodes to which no callers are sent keep few idle connections

Cause: 64 nodes that each kept a connection to a small service's replica (54 connections in all) held it at its cap; it reset new ones. Ruled out: a forged entry, a replica that fails.

Change: a node that the directory does not name keeps an equal share of the cap over all nodes, none where there are more nodes than connections; the others keep what they may use at once. Test idle_connections.

--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -94,6 +94,8 @@
     entry: Arc<ReplicaEntry>,
     is_open: bool,
     is_near: bool,
+    /// How many connections the replica takes from all nodes together.
+    max_connections: usize,
     /// How many sends of this node may be under way; at least 1.
     max_in_flight: usize,
     outstanding: Vec<Outstanding>,
@@ -194,6 +196,17 @@
         self.replicas.get(id).map(|state| &state.entry)
     }
 
+    /// How many idle connections this node may keep to a replica; a node to which callers are sent
+    /// (`is_sender`) as many as it may use, the others an equal share of what `nodes` nodes may.
+    ///
+    /// Guards against replicas that are full of connections nobody uses: 64 nodes that kept one
+    /// each were over a cap of 54, and the replica reset new ones. Of the few requests that such
+    /// nodes get for it, 250 in a day were lost; what may run once is not sent again then.
+    pub fn idle_limit(&self, id: &str, nodes: usize, is_sender: bool) -> usize {
+        let Some(state) = self.replicas.get(id) else { return 0 };
+        if is_sender { state.max_in_flight } else { state.max_connections / nodes.max(1) }
+    }
+
     /// In how long a replica of a service may get work, in microseconds; `None` if none is there.
     pub fn usable_in_us(&self, service: &str, now_us: u64) -> Option<u64> {
         let ids = self.services.get(service)?;
@@ -295,6 +308,7 @@
             is_near: entry.failure_domain == settings.failure_domain,
             entry,
             is_open: true,
+            max_connections: 1,
             max_in_flight: 1,
             outstanding: Vec::new(),
             slowness: Fading::new(1.0),
@@ -313,6 +327,7 @@
     /// Divides what all nodes together may use of the replica.
     fn limit(&mut self, service: Option<&RoutedService>, nodes: usize, settings: &PoolSettings) {
         let connections = service.map_or(1, |service| service.max_connections as usize);
+        self.max_connections = connections;
         self.max_in_flight = (connections / nodes).max(1);
         let rate = service.and_then(|service| service.warmup_per_s);
         let bound = |rate: f64| rate * settings.warmup_factor + settings.warmup_slack;
--- a/crates/sassafrasproxy-core/tests/replica_choice.rs
+++ b/crates/sassafrasproxy-core/tests/replica_choice.rs
@@ -193,3 +193,15 @@
     pool.update(200, &next, 8);
     assert_eq!(pick(&mut pool, 200).unwrap(), "near");
 }
+
+/// 200 nodes, 8 of which callers are sent to, share a replica that takes 64 connections. The
+/// others get a request now and then; if each kept its connection, the replica would be full of
+/// idle ones, and reset those that requests need.
+#[test]
+fn idle_connections() {
+    let few = pool(&[("a", "west")], 8);
+    assert_eq!(few.idle_limit("a", 200, true), 8);
+    assert_eq!(few.idle_limit("a", 200, false), 0);
+    assert_eq!(few.idle_limit("a", 30, false), 2, "room for all");
+    assert_eq!(few.idle_limit("gone", 30, true), 0);
+}
--- a/crates/sassafrasproxy-gateway/src/connections.rs
+++ b/crates/sassafrasproxy-gateway/src/connections.rs
@@ -49,17 +49,22 @@
         None
     }
 
-    /// Keeps a connection whose last answer is complete.
+    /// Keeps a connection whose last answer is complete, unless `limit` are idle already.
     pub fn put(
         &mut self,
         replica: &EcoString,
         sender: UpstreamSender,
         now_us: u64,
         keep_alive_ms: Option<u64>,
+        limit: usize,
     ) {
         let usable_ms = keep_alive_ms.map(|ms| ms.saturating_sub(KEEP_ALIVE_MARGIN_MS));
         let until_us = usable_ms.map_or(u64::MAX, |ms| now_us + ms * US_PER_MS);
         let idle = self.idle.entry(replica.clone()).or_default();
+        idle.retain(|one| one.until_us > now_us && !one.sender.is_closed());
+        if idle.len() >= limit {
+            return;
+        }
         idle.push(IdleConnection { sender, until_us });
     }
 
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -19,7 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::connections::{Connections, connect};
+use crate::connections::{Connections, UpstreamSender, connect};
 use crate::metrics::{GatewayMetrics, OfKind};
 use crate::relays::Relays;
 use crate::view::GatewayView;
@@ -60,6 +60,8 @@
     /// Guards against a partition, in which each side would see few nodes and take the share of
     /// the others in what all nodes must keep together.
     node_count: Cell<usize>,
+    /// Whether callers are sent here.
+    is_sender: Cell<bool>,
     /// Where callers connect to this node.
     address: EcoString,
     /// Where this node starts in the turn of splits, 0 to 1.
@@ -94,6 +96,7 @@
             is_leaving: Cell::new(false),
             active: Cell::new(0),
             node_count: Cell::new(MIN_NODES),
+            is_sender: Cell::new(false),
             address,
             spread: rand::random(),
             started_us: clock.now_us(),
@@ -219,7 +222,8 @@
         self.connections.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.ahead.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.view.replace(view);
-        if !self.is_named() {
+        self.is_sender.set(self.is_named());
+        if !self.is_sender.get() {
             return;
         }
         for replica in catalogue.replicas.values() {
@@ -254,6 +258,19 @@
         *domain == self.settings().failure_domain || (is_settled && !self.relays.has_relay(domain))
     }
 
+    /// Keeps a connection to a replica whose last answer, if any, is complete.
+    pub fn keep_connection(
+        &self,
+        replica: &EcoString,
+        sender: UpstreamSender,
+        keep_alive_ms: Option<u64>,
+    ) {
+        let (nodes, is_sender) = (self.node_count.get(), self.is_sender.get());
+        let limit = self.pool.borrow().idle_limit(replica, nodes, is_sender);
+        let now_us = self.clock.now_us();
+        self.connections.borrow_mut().put(replica, sender, now_us, keep_alive_ms, limit);
+    }
+
     /// Makes a connection to a replica before the first request needs it.
     ///
     /// The handshake takes a replica up to 6 ms, a seventh of the shortest latency goal; a new
@@ -264,8 +281,7 @@
         while is_open(&entry.id) && !self.connections.borrow().has_idle(&entry.id) {
             let error = match connect(entry.address, AHEAD_CONNECT_LIMIT).await {
                 Ok(sender) => {
-                    let now_us = self.clock.now_us();
-                    return self.connections.borrow_mut().put(&entry.id, sender, now_us, None);
+                    return self.keep_connection(&entry.id, sender, None);
                 }
                 Err(error) => error,
             };
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -222,7 +222,7 @@
     let now_us = traffic.clock.now_us();
     let left_us = spec.end_us.saturating_sub(now_us);
     if left_us < US_PER_MS {
-        traffic.connections.borrow_mut().put(id, sender, now_us, None);
+        traffic.keep_connection(id, sender, None);
         return SendEnd::Unsent;
     }
     let limit = Duration::from_micros(left_us + ANSWER_MARGIN_US);
@@ -307,8 +307,7 @@
         return SendEnd::Lost;
     }
     if !head.is_closing {
-        let now_us = traffic.clock.now_us();
-        traffic.connections.borrow_mut().put(id, sender, now_us, head.keep_alive_ms);
+        traffic.keep_connection(id, sender, head.keep_alive_ms);
     }
     if head.is_misdirected {
         return SendEnd::Misdirected;
