Soak: ways between processes that delay, cut, reset and silence, and callers that keep connections

Link, in the stand-ins, is such a proxy; one stands before each replica and one between each gateway and the store. Every second caller keeps its connection.

Not played: clocks that jump (a process cannot be given one without privileges), storage (none is used), proxies between gateways.

--- a/crates/sassafrasproxy-soak/src/check.rs
+++ b/crates/sassafrasproxy-soak/src/check.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sassafrasproxy_platform_standin::{CallerAnswer, ask};
+use sassafrasproxy_platform_standin::{CallerAnswer, KeptCaller};
 
 use crate::fleet::{Addresses, Fleet, SHARDS, record};
 
@@ -50,8 +50,11 @@
         self.state.tally.lock().unwrap().clone()
     }
 
-    /// Asks one gateway after the other until the soak ends.
+    /// Asks one gateway after the other until the soak ends; every second caller keeps its
+    /// connection until the gateway ends it.
     pub async fn ask_on(self, caller: usize, addresses: Addresses, pause: Duration) {
+        let is_keeping = caller % 2 == 1;
+        let mut kept = KeptCaller::default();
         while !self.state.is_over.load(Ordering::Relaxed) {
             let number = self.state.next.fetch_add(1, Ordering::Relaxed);
             let address = {
@@ -61,7 +64,10 @@
             let attempt = format!("a{number}");
             let kind = ["all", "one", "order"][number as usize % 3];
             let path = format!("/{kind}/{number}");
-            let asked = ask(address, "soak.example", &path, &attempt, DEADLINE_MS);
+            if !is_keeping {
+                kept = KeptCaller::default();
+            }
+            let asked = kept.ask(address, "soak.example", &path, &attempt, DEADLINE_MS);
             let answer = tokio::time::timeout(PATIENCE, asked).await;
             let answer = answer.ok().and_then(Result::ok);
             self.note(kind, attempt, answer.as_ref());
--- a/crates/sassafrasproxy-soak/src/fleet.rs
+++ b/crates/sassafrasproxy-soak/src/fleet.rs
@@ -7,8 +7,8 @@
 use eyre::Result;
 use nix::sys::signal::Signal;
 use sassafrasproxy_platform_standin::{
-    Behavior, DeclaredRoute, DeclaredTarget, GatewayProcess, ReplicaStandIn, StoreMode,
-    StoreStandIn,
+    Behavior, DeclaredRoute, DeclaredTarget, GatewayProcess, Link, LinkMode, ReplicaStandIn,
+    StoreMode, StoreStandIn,
 };
 
 use crate::plan::Fault;
@@ -22,6 +22,9 @@
 /// How long a slow replica takes, in milliseconds.
 const SLOW_MS: u64 = 80;
 
+/// How much longer a delaying way takes in each direction, in milliseconds.
+const DELAY_MS: u64 = 30;
+
 /// Where each gateway serves callers at the moment.
 pub type Addresses = Arc<Mutex<Vec<SocketAddr>>>;
 
@@ -30,6 +33,10 @@
     binary: PathBuf,
     store: StoreStandIn,
     pub replicas: Vec<ReplicaStandIn>,
+    /// From the gateways to each replica.
+    ways: Vec<Link>,
+    /// From each gateway to the store.
+    store_ways: Vec<Link>,
     gateways: Vec<GatewayProcess>,
     addresses: Addresses,
     version: u64,
@@ -43,10 +50,14 @@
             let service = if at < 2 * SHARDS { format!("shard-{}", at / 2) } else { "desk".into() };
             ReplicaStandIn::start(&format!("r{at}"), &service, record(at as u8))
         });
+        let replicas: Vec<ReplicaStandIn> = replicas.collect();
+        let store = StoreStandIn::start();
         let mut fleet = Self {
             binary: binary.to_path_buf(),
-            store: StoreStandIn::start(),
-            replicas: replicas.collect(),
+            ways: replicas.iter().map(|replica| Link::start(replica.address())).collect(),
+            store_ways: (0..nodes).map(|_| Link::start(store.address())).collect(),
+            store,
+            replicas,
             gateways: Vec::new(),
             addresses: Arc::default(),
             version: 0,
@@ -118,6 +129,15 @@
             Fault::ReplicaDrains(at) => self.register(at, "draining"),
             Fault::ReplicaUnlisted(at) => self.store.unlist(&format!("r{at}")),
             Fault::ReplicaListed(at) => self.register(at, "ready"),
+            Fault::WayDelays(at) => self.ways[at].set_mode(LinkMode::Delaying(DELAY_MS)),
+            Fault::WayLosesRequests(at) => self.ways[at].set_mode(LinkMode::LosingRequests),
+            Fault::WayLosesAnswers(at) => self.ways[at].set_mode(LinkMode::LosingAnswers),
+            Fault::WaySound(at) => self.ways[at].set_mode(LinkMode::Sound),
+            Fault::WayReset(at) => self.ways[at].reset(),
+            Fault::WaySilenced(at) => self.ways[at].silence(),
+            Fault::StoreWayCut(at) => self.store_ways[at].set_mode(LinkMode::LosingAnswers),
+            Fault::StoreWaySilenced(at) => self.store_ways[at].silence(),
+            Fault::StoreWaySound(at) => self.store_ways[at].set_mode(LinkMode::Sound),
             Fault::Configure => self.configure(),
             Fault::StoreRefuses => self.store.set_mode(StoreMode::Refusing(503)),
             Fault::StoreSilent => self.store.set_mode(StoreMode::Silent),
@@ -144,12 +164,13 @@
     fn start_gateway(&self, at: usize) -> Result<GatewayProcess> {
         let seeds: Vec<SocketAddr> = self.gateways.iter().map(GatewayProcess::peers).collect();
         let domain = ["west", "east"][at % 2];
-        let store = self.store.address();
+        let store = self.store_ways[at].address();
         GatewayProcess::start(&self.binary, &format!("vm-{at}"), domain, store, &seeds)
     }
 
     fn register(&self, at: usize, state: &str) {
-        self.replicas[at].register(&self.store, ["west", "east"][at % 2], state);
+        let zone = ["west", "east"][at % 2];
+        self.replicas[at].register_at(self.ways[at].address(), &self.store, zone, state);
     }
 
     fn configure(&mut self) {
--- a/crates/sassafrasproxy-soak/src/plan.rs
+++ b/crates/sassafrasproxy-soak/src/plan.rs
@@ -51,6 +51,18 @@
     ReplicaDrains(usize),
     ReplicaUnlisted(usize),
     ReplicaListed(usize),
+    /// The way to a replica delays, loses requests or answers, or is sound.
+    WayDelays(usize),
+    WayLosesRequests(usize),
+    WayLosesAnswers(usize),
+    WaySound(usize),
+    /// The open connections to a replica are reset, or carry nothing any more.
+    WayReset(usize),
+    WaySilenced(usize),
+    /// A gateway's way to the store loses answers, has its open connections silenced, or is sound.
+    StoreWayCut(usize),
+    StoreWaySilenced(usize),
+    StoreWaySound(usize),
     /// A new configuration is written.
     Configure,
     /// The store refuses, falls silent, loses its answers, forgets its history, or is sound.
@@ -75,7 +87,7 @@
             }
             let node = rng.random_range(0..settings.nodes);
             let replica = rng.random_range(0..crate::fleet::REPLICAS);
-            let fault = match rng.random_range(0..26) {
+            let fault = match rng.random_range(0..38) {
                 0 => Fault::Kill(node),
                 1 => Fault::Pause(node),
                 2 | 3 => Fault::Resume(node),
@@ -95,7 +107,16 @@
                 21 => Fault::StoreSilent,
                 22 => Fault::StoreLosesAnswers,
                 23 => Fault::StoreForgets,
-                _ => Fault::StoreSound,
+                24 | 25 => Fault::StoreSound,
+                26 => Fault::WayDelays(replica),
+                27 => Fault::WayLosesRequests(replica),
+                28 => Fault::WayLosesAnswers(replica),
+                29..=31 => Fault::WaySound(replica),
+                32 => Fault::WayReset(replica),
+                33 => Fault::WaySilenced(replica),
+                34 => Fault::StoreWayCut(node),
+                35 => Fault::StoreWaySilenced(node),
+                _ => Fault::StoreWaySound(node),
             };
             steps.push(Step { at: Duration::from_millis(at_ms), fault });
         }
