Count a slow replica's queue at its own speed

Cause: the cost of a send took the wait in a replica's queue at the route's usual time, also where the replica worked eight times as slowly, so that queries queued there while a sibling had a slot free; and its word on its load was forgotten after 60 ms, before a slow answer could bring the next.

Change: the queue counts at the replica's observed speed, and its word for as long as one of its runs. Test slow_queue failed first.

--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -372,16 +372,18 @@
     /// The time until an answer that is to be expected, and all else that a send here costs.
     fn cost_us(&self, now_us: u64, expected_us: u64) -> f64 {
         let expected = expected_us as f64;
-        let is_fresh = now_us < self.reported_us + LOAD_FRESH_US;
+        // A slow replica's queue is slow as well, and its word on it is as old as its answers.
+        let run_us = expected * self.slowness.value(now_us);
+        let is_fresh = now_us < self.reported_us + LOAD_FRESH_US.max(run_us as u64);
         let reported = if is_fresh { self.reported as usize } else { 0 };
         let ahead = self.outstanding.len().max(reported);
         let slots = self.entry.slots as usize;
-        let queue = (ahead + 1).saturating_sub(slots) as f64 * expected / slots as f64;
+        let queue = (ahead + 1).saturating_sub(slots) as f64 * run_us / slots as f64;
         let far = if self.is_near { 0.0 } else { FAR_PENALTY_US };
         let is_stalled = self.outstanding.iter().any(|one| one.due_us <= now_us);
         let stall = if is_stalled { STALL_PENALTY_US } else { 0.0 };
         let errors = self.errors.value(now_us) * ERROR_PENALTY_US;
-        expected * self.slowness.value(now_us) + queue + far + stall + errors
+        run_us + queue + far + stall + errors
     }
 
     fn learn(&mut self, now_us: u64, sent: &Outstanding, outcome: SendOutcome) {
--- a/crates/sassafrasproxy-core/tests/replica_choice.rs
+++ b/crates/sassafrasproxy-core/tests/replica_choice.rs
@@ -205,3 +205,23 @@
     assert_eq!(few.idle_limit("a", 30, false), 2, "room for all");
     assert_eq!(few.idle_limit("gone", 30, true), 0);
 }
+
+/// Both replicas of a shard work four times as slowly, and the near one has no free slot by its
+/// own word of a moment ago. The wait for one is four times as long as a sound replica's: queries
+/// sent into it came late while the sibling had a slot free.
+#[test]
+fn slow_queue() {
+    let mut pool = pool(&[("near", "west"), ("far", "east")], 8);
+    let mut now_us = 0;
+    for _ in 0..30 {
+        for id in ["near", "far"] {
+            exchange(&mut pool, id, now_us, 4 * EXPECTED_US, SendOutcome::Answered);
+        }
+        now_us += 10_000;
+    }
+    assert_eq!(pick(&mut pool, now_us).unwrap(), "near");
+    let send = pool.start("near", now_us, EXPECTED_US, 10 * PATIENCE_US).unwrap();
+    now_us += 4 * EXPECTED_US;
+    pool.finish("near", send, now_us, SendOutcome::Answered, Some(2));
+    assert_eq!(pick(&mut pool, now_us + 20_000).unwrap(), "far");
+}
