--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -176,7 +176,7 @@
             state.entry = listed.entry.clone();
             state.is_open = listed.is_open;
             state.limit(service, nodes.max(1), &self.settings);
-            let cold_us = listed.entry.warmup_left_ms * crate::US_PER_MS;
+            let cold_us = listed.entry.cold_for_ms * crate::US_PER_MS;
             state.cold_until_us = (listed.seen_us + cold_us).max(now_us.min(state.cold_until_us));
         }
         self.services.clear();
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -15,7 +15,7 @@
         failure_domain: "west".into(),
         slots: 2,
         is_draining: false,
-        warmup_left_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/sassafrasproxy-core/tests/fetches.rs
+++ b/crates/sassafrasproxy-core/tests/fetches.rs
@@ -32,7 +32,7 @@
                 failure_domain: "west".into(),
                 slots: 2,
                 is_draining: false,
-                warmup_left_ms: 0,
+                cold_for_ms: 0,
             };
             let id = entry.id.clone();
             let replica = CatalogueReplica { entry: Arc::new(entry), seen_us: 0, is_open: true };
--- a/crates/sassafrasproxy-core/tests/replica_choice.rs
+++ b/crates/sassafrasproxy-core/tests/replica_choice.rs
@@ -29,7 +29,7 @@
             failure_domain: (*domain).into(),
             slots: 2,
             is_draining: false,
-            warmup_left_ms: if warmup.is_some() { 3_000 } else { 0 },
+            cold_for_ms: if warmup.is_some() { 3_000 } else { 0 },
         };
         let replica = CatalogueReplica { entry: Arc::new(entry), seen_us: 0, is_open: true };
         ((*id).into(), replica)
--- a/crates/sassafrasproxy-core/tests/routing.rs
+++ b/crates/sassafrasproxy-core/tests/routing.rs
@@ -14,7 +14,7 @@
         prefix: prefix.into(),
         is_idempotent: true,
         timeout_ms: 1_000,
-        latency_goal_ms: 100,
+        goal_ms: 100,
         max_attempts: 2,
         priority: 1,
         target: RouteTarget::Service("s".into()),
--- a/crates/sassafrasproxy-core/tests/shards/mod.rs
+++ b/crates/sassafrasproxy-core/tests/shards/mod.rs
@@ -214,7 +214,7 @@
                     failure_domain: eco_format!("domain-{copy}"),
                     slots: load.slots as u32,
                     is_draining: false,
-                    warmup_left_ms: 0,
+                    cold_for_ms: 0,
                 };
                 let replica =
                     CatalogueReplica { entry: Arc::new(entry), seen_us: 0, is_open: true };
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -196,7 +196,7 @@
         failure_domain: EcoString::new(),
         slots: 1,
         is_draining: false,
-        warmup_left_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/sassafrasproxy-gateway/src/relays.rs
+++ b/crates/sassafrasproxy-gateway/src/relays.rs
@@ -112,7 +112,7 @@
                 failure_domain: node.failure_domain.clone(),
                 slots: MAX_ASKS,
                 is_draining: false,
-                warmup_left_ms: 0,
+                cold_for_ms: 0,
             };
             let replica =
                 CatalogueReplica { entry: Arc::new(entry), seen_us: now_us, is_open: true };
--- a/crates/sassafrasproxy-gateway/src/request.rs
+++ b/crates/sassafrasproxy-gateway/src/request.rs
@@ -73,7 +73,7 @@
     /// microseconds; `way_us` is the round trip between caller and node.
     pub fn goal_us(&self, route: &Route, way_us: u64) -> u64 {
         let start_us = self.arrived_us.saturating_sub(self.gone_us);
-        (start_us + route.latency_goal_ms * US_PER_MS).saturating_sub(way_us)
+        (start_us + route.goal_ms * US_PER_MS).saturating_sub(way_us)
     }
 
     /// When the caller must have its final answer on the way, in microseconds.
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -160,7 +160,7 @@
 
     /// What bounds a fetch of a route, by the latencies that the route has shown.
     pub fn fetch_plan(&self, route: &Route) -> FetchPlan {
-        let goal_us = route.latency_goal_ms * US_PER_MS;
+        let goal_us = route.goal_ms * US_PER_MS;
         let fanout = match route.target {
             RouteTarget::Gather(_) => Fanout::Shards,
             RouteTarget::Service(_) | RouteTarget::Split(_) => Fanout::One,
@@ -190,7 +190,7 @@
     pub fn known_times(&self, route: &EcoString) -> Option<SendTimes> {
         let catalogue = self.catalogue();
         let route = catalogue.routes.routes().find(|one| one.name == *route)?;
-        let goal_us = route.latency_goal_ms * US_PER_MS;
+        let goal_us = route.goal_ms * US_PER_MS;
         let mut times = self.times.borrow_mut();
         let times = times.entry(route.name.clone()).or_default();
         Some(times.send_times(goal_us, Fanout::Shards))
--- a/crates/sassafrasproxy-wire/src/route.rs
+++ b/crates/sassafrasproxy-wire/src/route.rs
@@ -35,7 +35,7 @@
     /// The longest that a caller is kept waiting, in milliseconds.
     pub timeout_ms: u64,
     /// The time within which an answer is worth most, in milliseconds.
-    pub latency_goal_ms: u64,
+    pub goal_ms: u64,
     /// How many replicas of a service one caller attempt may be sent to; at least 1.
     pub max_attempts: u32,
     /// The rank; 0 is the most urgent.
@@ -151,5 +151,5 @@
     /// Whether it is about to leave and takes no new work.
     pub is_draining: bool,
     /// How much longer it is cold, in milliseconds from when the entry was written.
-    pub warmup_left_ms: u64,
+    pub cold_for_ms: u64,
 }
