Take a cold replica's heartbeats for what they are: no news

Cause: a replica that has started says with each heartbeat how much longer it is cold, and each such entry built the catalogue anew and logged a line at every node. Ruled out: entries that are listed again, as equal ones were passed over before.

Change: an entry that differs in its sequence only, and in a cold time that ends when it was said to end, is kept and changes nothing. Test cold_heartbeats failed first; it holds as well that a replica that turns cold again, is warm sooner than it said, or leaves is news.

--- a/crates/sassafrasproxy-core/src/forward/discovery.rs
+++ b/crates/sassafrasproxy-core/src/forward/discovery.rs
@@ -15,6 +15,10 @@
 /// microseconds: the store's operators promise about two seconds.
 const REGISTER_AGAIN_US: u64 = 2_200_000;
 
+/// How far apart two words of a replica on the end of its cold time may lie without being news, in
+/// microseconds: entries reach nodes up to some tenths of a second late.
+const COLD_SLACK_US: u64 = 500_000;
+
 /// What discovery takes in.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DiscoveryEvent {
@@ -110,6 +114,8 @@
     entry: Arc<ReplicaEntry>,
     revision: u64,
     seen_us: u64,
+    /// Until when the catalogue says that it is cold.
+    cold_until_us: u64,
     is_listed: bool,
     /// Set while the entry is gone but its replica may still be alive.
     held_until_us: Option<u64>,
@@ -384,14 +390,24 @@
             let was_held = known.held_until_us.take().is_some();
             known.is_listed = true;
             known.revision = revision;
-            if *known.entry == entry && !was_held {
+            if !was_held && *known.entry == entry {
+                return;
+            }
+            if !was_held && known.is_heartbeat(now_us, &entry) {
+                known.entry = Arc::new(entry);
+                known.seen_us = now_us;
                 return;
             }
         }
         self.notes.push(DiscoveryNote::Replica { id: id.clone(), is_draining: entry.is_draining });
-        let entry = Arc::new(entry);
-        let known =
-            KnownReplica { entry, revision, seen_us: now_us, is_listed: true, held_until_us: None };
+        let known = KnownReplica {
+            cold_until_us: cold_until_us(now_us, &entry),
+            entry: Arc::new(entry),
+            revision,
+            seen_us: now_us,
+            is_listed: true,
+            held_until_us: None,
+        };
         self.replicas.insert(id, known);
         self.is_changed = true;
     }
@@ -454,3 +470,25 @@
         }
     }
 }
+
+impl KnownReplica {
+    /// Whether an entry says of the replica what is known already.
+    ///
+    /// A cold replica's entry changes with each heartbeat, as less of its time is left.
+    fn is_heartbeat(&self, now_us: u64, entry: &ReplicaEntry) -> bool {
+        let same = ReplicaEntry {
+            sequence: entry.sequence,
+            cold_for_ms: entry.cold_for_ms,
+            ..ReplicaEntry::clone(&self.entry)
+        };
+        let said_us = cold_until_us(now_us, entry);
+        // Warm before, and warm now.
+        let is_warm = self.cold_until_us <= now_us && entry.cold_for_ms == 0;
+        same == *entry && (is_warm || said_us.abs_diff(self.cold_until_us) <= COLD_SLACK_US)
+    }
+}
+
+/// Until when a replica is cold by its own word.
+fn cold_until_us(now_us: u64, entry: &ReplicaEntry) -> u64 {
+    now_us + entry.cold_for_ms * crate::US_PER_MS
+}
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -191,3 +191,31 @@
     discovery.step(2, DiscoveryEvent::PeerFacts { facts, revision: 4 });
     assert_eq!(open(&discovery.take_catalogue().unwrap()), ["a", "b"]);
 }
+
+/// A replica has just started and says with each heartbeat how much longer it is cold. That it is
+/// cold until the same moment is no news: 405 replicas that started at once had each node of 64
+/// build its catalogue anew and log a line four times for each.
+#[test]
+fn cold_heartbeats() {
+    let mut discovery = listed();
+    discovery.take_catalogue();
+    discovery.take_notes();
+    let beat = |sequence, cold_for_ms| ReplicaEntry { sequence, cold_for_ms, ..entry("c") };
+    discovery.step(0, seen(beat(1, 3_000), 7));
+    assert!(discovery.take_catalogue().is_some());
+    assert_eq!(discovery.take_notes().len(), 1);
+    for (at_ms, sequence, cold_for_ms) in [(1_200, 2, 1_700), (2_300, 3, 600), (3_600, 4, 0)] {
+        discovery.step(at_ms * 1_000, seen(beat(sequence, cold_for_ms), 7 + sequence));
+        assert!(discovery.take_catalogue().is_none(), "heartbeat {sequence}");
+        assert!(discovery.take_notes().is_empty(), "heartbeat {sequence}");
+    }
+    discovery.step(5_000_000, seen(beat(5, 3_000), 12));
+    assert!(discovery.take_catalogue().is_some(), "cold again");
+    discovery.step(5_500_000, seen(beat(6, 0), 13));
+    assert!(discovery.take_catalogue().is_some(), "warm before it said");
+    discovery.step(9_000_000, seen(beat(6, 0), 13));
+    assert!(discovery.take_catalogue().is_none(), "listed again");
+    let draining = ReplicaEntry { is_draining: true, ..beat(7, 0) };
+    discovery.step(9_500_000, seen(draining, 14));
+    assert!(discovery.take_catalogue().is_some(), "leaving");
+}
