Follow the store's watcher in the own failure domain

A node of a large fleet followed any of the watchers, so that three in four copies of each change, a configuration of some hundred kilobytes among them, crossed failure domains. Ruled out: heartbeats (2 KB a second at every size).

Change: a node follows a watcher in its own failure domain, if there is one. Test few_watch wants that of every node of sixty; it failed first.

--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -325,8 +325,13 @@
         if watchers.len() < self.policy.watchers || watchers.iter().any(|one| one.node == me.node) {
             return Follow::Store;
         }
+        // A configuration has some hundred kilobytes, and each node gets all of it: from a watcher
+        // in its own failure domain it crosses to no other.
+        let near: Vec<&Member> =
+            watchers.iter().copied().filter(|one| one.domain_hash == me.domain_hash).collect();
+        let choice = if near.is_empty() { watchers } else { near };
         // Each node follows one of them, so that they share the others out.
-        let own = watchers[(me.name_hash % watchers.len() as u64) as usize];
+        let own = choice[(me.name_hash % choice.len() as u64) as usize];
         Follow::Peer { peer_address: own.peer_address.clone() }
     }
 
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -146,7 +146,10 @@
     }
     for at in 0..60 {
         if let Follow::Peer { peer_address } = fleet.nodes[at].follow() {
-            assert!(watchers.contains(&peer_address.parse::<usize>().unwrap()));
+            let watcher = peer_address.parse::<usize>().unwrap();
+            assert!(watchers.contains(&watcher));
+            // Whatever changes would cross failure domains once for each node.
+            assert_eq!(watcher % 4, at % 4, "in its own failure domain");
         }
     }
 }
