Watch the store with four nodes of a small fleet too

The mechanism by which few nodes of a large fleet watch was switched off up to eight nodes. Ruled out: hearing late because a followed node stands still; the new test plays it for each of eight nodes: a second later every follower has heard that there is more to know, and asks the store.

--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -28,9 +28,7 @@
     pub forget_us: u64,
     /// How many news on members go with a heartbeat.
     pub news: usize,
-    /// Up to how many nodes all watch the store: then nobody depends on another for what it knows.
-    pub small_fleet: usize,
-    /// How many nodes of a larger fleet watch the store.
+    /// How many nodes watch the store; all do in a smaller fleet.
     ///
     /// One in each of four failure domains: the loss of one domain leaves three. 64 nodes made
     /// 460 calls on a calm day with four watchers and 576 with eight; 62 that all watched, 2,200.
@@ -47,7 +45,6 @@
             suspect_us: 1_200_000,
             forget_us: 30_000_000,
             news: 6,
-            small_fleet: 8,
             watchers: 4,
         }
     }
@@ -295,13 +292,13 @@
 
     /// Where to follow the store.
     ///
-    /// Each watch costs its calls, so in a large fleet only [`GossipPolicy::watchers`] nodes
+    /// Each watch costs its calls, so only [`GossipPolicy::watchers`] nodes
     /// watch: the first by hash in each failure domain by turns, those left out that the store
     /// turns away. A node that sees fewer watches itself, at the cost of some calls.
+    ///
+    /// A follower whose watcher stands still hears of news from others' heartbeats within a second
+    /// and then asks the store itself: a change must be in force within three.
     pub fn follow(&self) -> Follow {
-        if self.node_count() <= self.policy.small_fleet {
-            return Follow::Store;
-        }
         let is_fit = |member: &&Member| {
             let is_away = match member.node == self.members.me().node {
                 true => Some(&self.is_store_away),
