Share out slow replicas that queries need, in place of asking all of them at once

Change: each node counts the work that it gives to a replica that has been slow for longer than a pause, and its share of the slots; a query asks no more such shards than it needs beyond its share, and queries that can do without leave them to it. Two structs of the pool became files of their own.

--- a/crates/sassafrasproxy-core/src/forward/fetch.rs
+++ b/crates/sassafrasproxy-core/src/forward/fetch.rs
@@ -71,6 +71,8 @@
     NoBudget,
     /// It may have run, and must not run again.
     NotRepeatable,
+    /// The replicas are slow, and other requests need them more.
+    TooSlow,
 }
 
 /// How a send of a fetch ended.
--- a/crates/sassafrasproxy-core/src/forward/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! With few nodes, every node sends to every replica itself; what all nodes must keep together
 //! (connections, extra sends) is split by their number.
 
+mod ask_plan;
 mod caller_delays;
 mod catalogue;
 mod connect_ahead;
@@ -10,6 +11,7 @@
 mod directory;
 mod discovery;
 mod facts;
+mod fading;
 mod fetch;
 mod gather;
 mod gossip;
@@ -17,9 +19,11 @@
 mod retry_budget;
 mod route_times;
 mod routes;
+mod slow_share;
 mod split;
 mod store_sync;
 
+pub use self::ask_plan::{AskPlan, plan_asks};
 pub use self::caller_delays::CallerDelays;
 pub use self::catalogue::{Catalogue, CatalogueReplica};
 pub use self::connect_ahead::{AheadStep, ConnectAhead};
@@ -32,9 +36,10 @@
     GatherPlan, GatherStep, RECORD_BYTES, merge_records, next_gather_step, possible_in_us,
 };
 pub use self::gossip::{Follow, Gossip, GossipPolicy, MemberNote, Newest, PeerDatagram, PeerSend};
-pub use self::pool::{PoolSettings, SendId, SendOutcome, UpstreamPool};
+pub use self::pool::{PoolSettings, Prospect, SendId, SendOutcome, UpstreamPool};
 pub use self::retry_budget::{RetryBudget, RetryBudgetPolicy};
 pub use self::route_times::{Fanout, RouteTimes, SendTimes};
 pub use self::routes::RouteTable;
+pub use self::slow_share::SlowProspect;
 pub use self::split::SplitChooser;
 pub use self::store_sync::{StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
--- a/crates/sassafrasproxy-core/src/forward/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/pool.rs
@@ -6,6 +6,8 @@
 use indexmap::IndexMap;
 use sassafrasproxy_wire::{ReplicaEntry, RoutedService};
 
+use super::fading::Fading;
+use super::slow_share::{SlowProspect, SlowShare};
 use crate::Catalogue;
 
 /// What a send to another failure domain costs beside its time, in microseconds.
@@ -32,11 +34,6 @@
 /// How much one answer counts in a replica's rate of errors.
 const ERROR_WEIGHT: f64 = 0.3;
 
-/// The time after which half of what is known of a replica is forgotten, in microseconds.
-///
-/// A replica that was eight times slower is tried again after two to three seconds.
-const HALF_LIFE_US: f64 = 1_000_000.0;
-
 /// How long a replica's word on its load counts, in microseconds: some ten sends of a busy node.
 const LOAD_FRESH_US: u64 = 60_000;
 
@@ -80,6 +77,13 @@
     Cancelled,
 }
 
+/// What asking a service now would probably meet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Prospect {
+    /// If the replica that would be asked has been slow for a while, what it bears.
+    pub slow: Option<SlowProspect>,
+}
+
 /// All replicas that this node may send to.
 #[derive(Debug)]
 pub struct UpstreamPool {
@@ -112,6 +116,7 @@
     cold_rate: Option<f64>,
     cold_tokens: f64,
     cold_tokens_us: u64,
+    share: SlowShare,
 }
 
 #[derive(Debug)]
@@ -123,30 +128,6 @@
     due_us: u64,
 }
 
-/// A running mean that returns to its base as time passes.
-#[derive(Debug, Clone, Copy)]
-struct Fading {
-    base: f64,
-    above: f64,
-    at_us: u64,
-}
-
-impl Fading {
-    fn new(base: f64) -> Self {
-        Self { base, above: 0.0, at_us: 0 }
-    }
-
-    fn value(&self, now_us: u64) -> f64 {
-        let age = now_us.saturating_sub(self.at_us) as f64 / HALF_LIFE_US;
-        self.base + self.above * (-age).exp2()
-    }
-
-    fn add(&mut self, now_us: u64, sample: f64, weight: f64) {
-        let value = self.value(now_us) * (1.0 - weight) + sample * weight;
-        *self = Self { base: self.base, above: value - self.base, at_us: now_us };
-    }
-}
-
 impl UpstreamPool {
     /// A pool without replicas.
     pub fn new(settings: PoolSettings) -> Self {
@@ -240,7 +221,7 @@
     /// `expected_us` is the usual time of such a request. Replicas in `tried` are left out, and
     /// so are those that are known to fail at this moment.
     pub fn pick(
-        &mut self,
+        &self,
         service: &str,
         now_us: u64,
         expected_us: u64,
@@ -265,6 +246,21 @@
         best.map(|(_, id)| id.clone())
     }
 
+    /// What the replica that would be picked is like; `None` if none can be asked.
+    pub fn prospect(&self, service: &str, now_us: u64, expected_us: u64) -> Option<Prospect> {
+        let id = self.pick(service, now_us, expected_us, &[])?;
+        let state = &self.replicas[&id];
+        let slowness = state.slowness.value(now_us);
+        Some(Prospect { slow: state.share.prospect(now_us, expected_us, slowness) })
+    }
+
+    /// Notes that a query needs a service's slow replicas.
+    pub fn note_contested(&mut self, service: &str, now_us: u64) {
+        for id in self.services.get(service).into_iter().flatten() {
+            self.replicas[id].share.note_contested(now_us);
+        }
+    }
+
     /// Notes a send to a replica, which is beyond its usual time `patience_us` from now.
     pub fn start(
         &mut self,
@@ -277,6 +273,7 @@
         let send = self.next_send;
         self.next_send += 1;
         state.spend_cold(now_us);
+        state.share.note_send(now_us, expected_us);
         let due_us = now_us + patience_us;
         state.outstanding.push(Outstanding { id: send, sent_us: now_us, expected_us, due_us });
         Some(send)
@@ -321,6 +318,7 @@
             cold_rate: None,
             cold_tokens: 0.0,
             cold_tokens_us: 0,
+            share: SlowShare::new(),
         }
     }
 
@@ -329,6 +327,7 @@
         let connections = service.map_or(1, |service| service.max_connections as usize);
         self.max_connections = connections;
         self.max_in_flight = (connections / nodes).max(1);
+        self.share.set_slots(f64::from(self.entry.slots) / nodes as f64);
         let rate = service.and_then(|service| service.warmup_per_s);
         let bound = |rate: f64| rate * settings.warmup_factor + settings.warmup_slack;
         // One saved send and what is earned in a second make a node's share of a second.
@@ -369,8 +368,8 @@
         }
     }
 
-    /// The time until an answer that is to be expected, and all else that a send here costs.
-    fn cost_us(&self, now_us: u64, expected_us: u64) -> f64 {
+    /// How long a request would run and wait for a slot, in microseconds.
+    fn times_us(&self, now_us: u64, expected_us: u64) -> (f64, f64) {
         let expected = expected_us as f64;
         // A slow replica's queue is slow as well, and its word on it is as old as its answers.
         let run_us = expected * self.slowness.value(now_us);
@@ -378,12 +377,18 @@
         let reported = if is_fresh { self.reported as usize } else { 0 };
         let ahead = self.outstanding.len().max(reported);
         let slots = self.entry.slots as usize;
-        let queue = (ahead + 1).saturating_sub(slots) as f64 * run_us / slots as f64;
+        let queue_us = (ahead + 1).saturating_sub(slots) as f64 * run_us / slots as f64;
+        (run_us, queue_us)
+    }
+
+    /// The time until an answer that is to be expected, and all else that a send here costs.
+    fn cost_us(&self, now_us: u64, expected_us: u64) -> f64 {
+        let (run_us, queue_us) = self.times_us(now_us, expected_us);
         let far = if self.is_near { 0.0 } else { FAR_PENALTY_US };
         let is_stalled = self.outstanding.iter().any(|one| one.due_us <= now_us);
         let stall = if is_stalled { STALL_PENALTY_US } else { 0.0 };
         let errors = self.errors.value(now_us) * ERROR_PENALTY_US;
-        run_us + queue + far + stall + errors
+        run_us + queue_us + far + stall + errors
     }
 
     fn learn(&mut self, now_us: u64, sent: &Outstanding, outcome: SendOutcome) {
@@ -392,6 +397,7 @@
                 let took = now_us.saturating_sub(sent.sent_us) as f64;
                 let ratio = took / sent.expected_us.max(1) as f64;
                 self.slowness.add(now_us, ratio.min(MAX_SLOWNESS), SLOWNESS_WEIGHT);
+                self.share.note_answer(now_us, sent.sent_us, ratio);
                 self.errors.add(now_us, 0.0, ERROR_WEIGHT);
                 self.failures = 0;
             }
--- a/crates/sassafrasproxy-core/tests/replica_choice.rs
+++ b/crates/sassafrasproxy-core/tests/replica_choice.rs
@@ -225,3 +225,35 @@
     pool.finish("near", send, now_us, SendOutcome::Answered, Some(2));
     assert_eq!(pick(&mut pool, now_us + 20_000).unwrap(), "far");
 }
+
+/// A replica is eight times slower for good. Eight nodes that each send it all they have would let
+/// its queue grow until every answer is late: once it has been slow for longer than a pause, a node
+/// has room for no more than its eighth of the two slots.
+#[test]
+fn slow_for_long() {
+    let mut pool = pool(&[("near", "west")], 8);
+    let slow = |pool: &UpstreamPool, now_us| pool.prospect("s", now_us, EXPECTED_US).unwrap().slow;
+    let took_us = 8 * EXPECTED_US;
+    let mut now_us = 0;
+    for _ in 0..3 {
+        exchange(&mut pool, "near", now_us, took_us, SendOutcome::Answered);
+        now_us += took_us;
+    }
+    assert!(slow(&pool, now_us).is_none(), "a pause may last as long");
+    exchange(&mut pool, "near", now_us, took_us, SendOutcome::Answered);
+    now_us += took_us;
+    assert!(slow(&pool, now_us).unwrap().room < 0.0, "four sends in a quarter of a second");
+    // A quarter of a slot does one send of 64 ms in 256 ms.
+    let start_us = now_us;
+    let mut sends = 0;
+    while now_us < start_us + 2_000_000 {
+        if slow(&pool, now_us).is_some_and(|slow| slow.room >= 1.0) {
+            exchange(&mut pool, "near", now_us, took_us, SendOutcome::Answered);
+            sends += 1;
+        }
+        now_us += took_us;
+    }
+    assert!((5..=9).contains(&sends), "{sends} sends in two seconds");
+    exchange(&mut pool, "near", now_us, EXPECTED_US, SendOutcome::Answered);
+    assert!(slow(&pool, now_us + EXPECTED_US).is_none(), "it is quick again");
+}
--- a/crates/sassafrasproxy-core/tests/shard_load.rs
+++ b/crates/sassafrasproxy-core/tests/shard_load.rs
@@ -50,3 +50,42 @@
     let worths = worths(load);
     assert!(worths[1] > 0.5, "short queries: {}", worths[1]);
 }
+
+/// Three of twenty shards have only a replica that works `slow` times as slowly.
+///
+/// A long query needs one of the three: while each asks all of them, they get 270 parts a second
+/// of which they run 180 or fewer, and all parts come late.
+fn thin_shards(seed: u64, slow: f64, lost: Fault) -> shards::Load {
+    let mut load = usual_load(seed);
+    for shard in 0..3 {
+        load.faults.insert((shard, 0), lost);
+        load.faults.insert((shard, 1), Fault::Slow(slow));
+    }
+    load.faults.insert((3, 0), lost);
+    load.faults.insert((4, 1), Fault::Slow(8.0));
+    load.faults.insert((5, 0), Fault::Slow(8.0));
+    load
+}
+
+/// Thin shards that could bear the parts that are needed of them. Before queries shared them out,
+/// long queries' worth was 0.08 to 0.12 at three times the usual time and 0.00 at five times; it is
+/// 0.62 to 0.65 and 0.15 to 0.22.
+#[test]
+fn thin_shards_shared() {
+    for lost in [Fault::Down, Fault::Dark] {
+        let thrice = worths(|seed| thin_shards(seed, 3.0, lost));
+        assert!(thrice[0] > 0.5, "long queries at three times: {}", thrice[0]);
+        assert!(thrice[1] > 0.71, "short queries at three times: {}", thrice[1]);
+        let five_times = worths(|seed| thin_shards(seed, 5.0, lost));
+        assert!(five_times[0] > 0.1, "long queries at five times: {}", five_times[0]);
+        assert!(five_times[1] > 0.71, "short queries at five times: {}", five_times[1]);
+    }
+}
+
+/// Thin shards so slow that no long query is answered in time, whoever sends: the short ones, which
+/// can do without, keep what they had.
+#[test]
+fn thin_shards_too_slow() {
+    let worths = worths(|seed| thin_shards(seed, 8.0, Fault::Down));
+    assert!(worths[1] > 0.7, "short queries: {}", worths[1]);
+}
--- a/crates/sassafrasproxy-core/tests/shards/mod.rs
+++ b/crates/sassafrasproxy-core/tests/shards/mod.rs
@@ -15,7 +15,7 @@
 use sassafrasproxy_core::{
     Catalogue, CatalogueReplica, Fanout, Fetch, FetchPlan, FetchStep, GatherPlan, GatherStep,
     PoolSettings, RetryBudget, RetryBudgetPolicy, RouteTimes, SendId, SendOutcome, TryResult,
-    UpstreamPool, next_gather_step,
+    UpstreamPool, next_gather_step, plan_asks,
 };
 use sassafrasproxy_wire::{ReplicaEntry, RoutedService};
 
@@ -322,9 +322,28 @@
         if self.is_measured(self.queries.len() - 1) {
             self.outcomes[kind].asked += 1;
         }
+        self.plan_asks();
         self.advance_all(self.queries.len() - 1);
     }
 
+    /// Plans which shards the newest query asks.
+    fn plan_asks(&mut self) {
+        let query = self.queries.last_mut().unwrap();
+        let pool = &mut self.nodes[query.node].pool;
+        let expected_us = query.fetch_plan.expected_us;
+        let services: Vec<EcoString> =
+            query.shards.iter().map(|(fetch, _, _)| fetch.service().clone()).collect();
+        let prospects: Vec<_> = services
+            .iter()
+            .map(|service| pool.prospect(service, self.now_us, expected_us))
+            .collect();
+        let asks = plan_asks(&prospects, query.plan.min_parts);
+        asks.left_out.into_iter().for_each(|shard| query.shards[shard].2 = true);
+        for shard in asks.contested {
+            pool.note_contested(&services[shard], self.now_us);
+        }
+    }
+
     fn is_measured(&self, query: usize) -> bool {
         self.queries[query].started_us >= LEARN_US
     }
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -8,8 +8,8 @@
 use ecow::{EcoString, eco_format};
 use indexmap::IndexMap;
 use sassafrasproxy_core::{
-    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, SendCause, SendId, US_PER_MS,
-    merge_records, next_gather_step, possible_in_us,
+    Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, Prospect, SendCause, SendId,
+    US_PER_MS, merge_records, next_gather_step, plan_asks, possible_in_us,
 };
 use sassafrasproxy_platform::PartSummary;
 use sassafrasproxy_wire::{GatherTarget, ReplicaEntry, Route};
@@ -117,8 +117,10 @@
     if let Some(refusal) = refuse_impossible(traffic, &request, target) {
         return refusal;
     }
+    let left_out = plan_shards(traffic, &request, route, target);
     let (ends, mut ended) = mpsc::unbounded_channel();
     let mut gathering = Gathering::new(traffic, request, route, target, ends);
+    gathering.leave_out(left_out);
     let mut wake_us = gathering.advance_all();
     loop {
         let now_us = traffic.clock.now_us();
@@ -169,6 +171,27 @@
     Some(refuse(&traffic.metrics, Refusal::NotRun, Some(retry_after_ms)))
 }
 
+/// The shards that a query leaves out, as other queries need their slow replicas more.
+fn plan_shards(
+    traffic: &Traffic,
+    request: &CallerRequest,
+    route: &Route,
+    target: &GatherTarget,
+) -> Vec<usize> {
+    let now_us = request.arrived_us;
+    let expected_us = traffic.fetch_plan(route).expected_us;
+    let min_parts = GatherPlan::min_parts(target.services.len(), target.min_coverage);
+    let mut pool = traffic.pool.borrow_mut();
+    let services = target.services.iter();
+    let prospects: Vec<Option<Prospect>> =
+        services.map(|service| pool.prospect(service, now_us, expected_us)).collect();
+    let asks = plan_asks(&prospects, min_parts);
+    for shard in asks.contested {
+        pool.note_contested(&target.services[shard], now_us);
+    }
+    asks.left_out
+}
+
 impl<'a> Gathering<'a> {
     fn new(
         traffic: &'a Rc<Traffic>,
@@ -207,6 +230,12 @@
         }
     }
 
+    fn leave_out(&mut self, shards: Vec<usize>) {
+        for shard in shards {
+            self.shards[shard].state = ShardState::Missing(FetchEnd::TooSlow);
+        }
+    }
+
     fn next(&self, now_us: u64) -> GatherStep {
         let count = |is: fn(&ShardState) -> bool| {
             self.shards.iter().filter(|shard| is(&shard.state)).count()
