Soak: a proxy before each gateway's relay port, planned restarts in calm, and a drain

Cause: the soak never put anything between gateways, and did not check that a planned stop loses nothing, since with other faults under way a lost answer may be theirs. Change: a gateway's relay port can be advertised at another address (relay_advertise), where the soak places its proxy; at the end of each seed all faults are taken back, every gateway is stopped and started in turn, and a request that reached a replica must be answered; then a replica drains and must get nothing new after three seconds. Not played still: clocks, heartbeats and facts between gateways that are lost or late.

--- a/crates/sassafrasproxy-config/src/gateway.rs
+++ b/crates/sassafrasproxy-config/src/gateway.rs
@@ -33,6 +33,8 @@
     pub peer_listen: SocketAddr,
     /// Where peers send requests for replicas near this node, over TCP.
     pub relay_listen: SocketAddr,
+    /// Where peers are told to connect for that, if they reach this node at another address.
+    pub relay_advertise: Option<SocketAddr>,
     /// Where metrics are read, if anywhere.
     pub metrics_listen: Option<SocketAddr>,
     /// The address of the platform's store.
@@ -87,6 +89,7 @@
     directory_listen: Spanned<EcoString>,
     peer_listen: Spanned<EcoString>,
     relay_listen: Spanned<EcoString>,
+    relay_advertise: Option<Spanned<EcoString>>,
     metrics_listen: Option<Spanned<EcoString>>,
     store: Spanned<EcoString>,
     #[serde(default)]
@@ -111,7 +114,9 @@
         let socket = |field: &str, value: &Spanned<EcoString>| address(file, field, value);
         let seeds: Result<Vec<SocketAddr>, Problem> =
             raw.seeds.iter().map(|seed| socket("seeds", seed)).collect();
-        let metrics = raw.metrics_listen.as_ref();
+        let optional = |field: &str, value: &Option<Spanned<EcoString>>| {
+            value.as_ref().map(|at| socket(field, at)).transpose()
+        };
         Ok(Self {
             name: filled(file, "name", &raw.name)?,
             failure_domain: filled(file, "failure_domain", &raw.failure_domain)?,
@@ -120,7 +125,8 @@
             directory_listen: socket("directory_listen", &raw.directory_listen)?,
             peer_listen: socket("peer_listen", &raw.peer_listen)?,
             relay_listen: socket("relay_listen", &raw.relay_listen)?,
-            metrics_listen: metrics.map(|at| socket("metrics_listen", at)).transpose()?,
+            relay_advertise: optional("relay_advertise", &raw.relay_advertise)?,
+            metrics_listen: optional("metrics_listen", &raw.metrics_listen)?,
             store: socket("store", &raw.store)?,
             seeds: seeds?,
             cpu_share: cpu_share(file, &raw.cpu_share)?,
--- a/crates/sassafrasproxy-config/tests/gateway_files.rs
+++ b/crates/sassafrasproxy-config/tests/gateway_files.rs
@@ -26,10 +26,18 @@
     let settings = GatewaySettings::parse("gateway.yaml", GOOD).unwrap();
     assert_eq!(settings.name, "vm-1");
     assert_eq!(settings.seeds.len(), 1);
-    assert_eq!(settings.metrics_listen, None);
+    assert_eq!((settings.metrics_listen, settings.relay_advertise), (None, None));
     assert_eq!((settings.retry_budget.ratio, settings.warmup.slack), (0.2, 5.0));
 }
 
+/// A node that peers reach at another address than the one on which it listens.
+#[test]
+fn relay_elsewhere() {
+    let text = format!("{GOOD}relay_advertise: 10.1.0.9:7380\n");
+    let settings = GatewaySettings::parse("gateway.yaml", &text).unwrap();
+    assert_eq!(settings.relay_advertise, Some("10.1.0.9:7380".parse().unwrap()));
+}
+
 /// Each wrong file is named with the line and the field, and with what to write instead.
 #[test]
 fn wrong() {
@@ -38,6 +46,7 @@
         ("unknown", format!("{GOOD}colour: red\n"), 15, "colour"),
         ("empty", GOOD.replace("vm-1", "\"\""), 1, "`name`"),
         ("host name", GOOD.replace("127.0.0.1:8104", "localhost:8104"), 3, "`callers_listen`"),
+        ("relay", format!("{GOOD}relay_advertise: there\n"), 15, "`relay_advertise`"),
         ("no port", GOOD.replace("127.0.0.1:8102", "127.0.0.1"), 8, "`store`"),
         ("bad seed", GOOD.replace("127.0.0.2:8106", "peer"), 9, "`seeds`"),
         ("no core", GOOD.replace("0.25", "-1"), 10, "`cpu_share`"),
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -153,19 +153,21 @@
         let ready = self.sockets.ready.local_addr()?;
         let peers = self.sockets.facts.local_addr()?;
         let relay = self.sockets.relay.local_addr()?;
+        let relay_advertise = self.settings.relay_advertise.unwrap_or(relay);
         let metrics = self.sockets.metrics.as_ref();
         let metrics = metrics.and_then(|listener| listener.local_addr().ok());
         let metrics = metrics.map_or_else(String::new, |address| address.to_string());
         let (node, domain) = (&self.settings.name, &self.settings.failure_domain);
         log::info!(
-            node:%, domain:%, callers:%, directory:%, ready:%, peers:%, metrics:%; "the node starts"
+            node:%, domain:%, callers:%, directory:%, ready:%, peers:%, relay:%, metrics:%;
+            "the node starts"
         );
         Ok(MemberUpdate {
             node: self.settings.name.clone(),
             peer_address: eco_format!("{peers}"),
             address: eco_format!("{callers}"),
             failure_domain: self.settings.failure_domain.clone(),
-            relay_address: eco_format!("{relay}"),
+            relay_address: eco_format!("{relay_advertise}"),
             cpu_millis: (self.settings.cpu_share * 1_000.0) as u32,
             state: MemberState::Alive,
             // The wall time overrules what members remember of an earlier life of this name.
--- a/crates/sassafrasproxy-soak/src/check.rs
+++ b/crates/sassafrasproxy-soak/src/check.rs
@@ -37,6 +37,10 @@
     tally: Mutex<Tally>,
     /// Orders, with the status that each caller got.
     orders: Mutex<IndexMap<String, u16>>,
+    /// Whether nothing is wrong but that gateways are stopped and started as planned.
+    is_calm: AtomicBool,
+    /// Requests of the calm time that ended without an answer.
+    lost: Mutex<Vec<String>>,
 }
 
 impl Check {
@@ -45,6 +49,11 @@
         self.state.is_over.store(true, Ordering::Relaxed);
     }
 
+    /// From now on only planned stops and starts of gateways happen.
+    pub fn begin_calm(&self) {
+        self.state.is_calm.store(true, Ordering::Relaxed);
+    }
+
     /// What callers saw.
     pub fn tally(&self) -> Tally {
         self.state.tally.lock().unwrap().clone()
@@ -67,9 +76,13 @@
             if !is_keeping {
                 kept = KeptCaller::default();
             }
+            let is_calm = self.state.is_calm.load(Ordering::Relaxed);
             let asked = kept.ask(address, "soak.example", &path, &attempt, DEADLINE_MS);
             let answer = tokio::time::timeout(PATIENCE, asked).await;
             let answer = answer.ok().and_then(Result::ok);
+            if is_calm && answer.is_none() {
+                self.state.lost.lock().unwrap().push(attempt.clone());
+            }
             self.note(kind, attempt, answer.as_ref());
             tokio::time::sleep(pause).await;
         }
@@ -90,7 +103,8 @@
         tally.broken.extend(wrong.map(|wrong| format!("{attempt}: {wrong}")));
     }
 
-    /// Orders run once at most, and what was refused as not run ran nowhere.
+    /// Orders run once at most, what was refused as not run ran nowhere, and no request that
+    /// reached a replica was lost by a planned stop.
     pub fn against_replicas(&self, fleet: &Fleet) -> Vec<String> {
         let mut runs: IndexMap<String, usize> = IndexMap::new();
         for replica in &fleet.replicas {
@@ -109,6 +123,11 @@
                 broken.push(format!("{attempt}: an order that was refused as not run has run"));
             }
         }
+        for attempt in self.state.lost.lock().unwrap().iter() {
+            if runs.contains_key(attempt) {
+                broken.push(format!("{attempt}: a planned stop lost the answer"));
+            }
+        }
         broken
     }
 }
--- a/crates/sassafrasproxy-soak/src/fleet.rs
+++ b/crates/sassafrasproxy-soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use eyre::Result;
 use nix::sys::signal::Signal;
@@ -37,6 +38,8 @@
     ways: Vec<Link>,
     /// From each gateway to the store.
     store_ways: Vec<Link>,
+    /// From the other gateways to each gateway's relay port.
+    relay_ways: Vec<Link>,
     gateways: Vec<GatewayProcess>,
     addresses: Addresses,
     version: u64,
@@ -56,6 +59,8 @@
             binary: binary.to_path_buf(),
             ways: replicas.iter().map(|replica| Link::start(replica.address())).collect(),
             store_ways: (0..nodes).map(|_| Link::start(store.address())).collect(),
+            // Each leads to its gateway once that has started.
+            relay_ways: (0..nodes).map(|_| Link::start(store.address())).collect(),
             store,
             replicas,
             gateways: Vec::new(),
@@ -138,6 +143,14 @@
             Fault::StoreWayCut(at) => self.store_ways[at].set_mode(LinkMode::LosingAnswers),
             Fault::StoreWaySilenced(at) => self.store_ways[at].silence(),
             Fault::StoreWaySound(at) => self.store_ways[at].set_mode(LinkMode::Sound),
+            Fault::RelayWayDelays(at) => self.relay_ways[at].set_mode(LinkMode::Delaying(DELAY_MS)),
+            Fault::RelayWayLosesAsks(at) => self.relay_ways[at].set_mode(LinkMode::LosingRequests),
+            Fault::RelayWayLosesReplies(at) => {
+                self.relay_ways[at].set_mode(LinkMode::LosingAnswers);
+            }
+            Fault::RelayWaySound(at) => self.relay_ways[at].set_mode(LinkMode::Sound),
+            Fault::RelayWayReset(at) => self.relay_ways[at].reset(),
+            Fault::RelayWaySilenced(at) => self.relay_ways[at].silence(),
             Fault::Configure => self.configure(),
             Fault::StoreRefuses => self.store.set_mode(StoreMode::Refusing(503)),
             Fault::StoreSilent => self.store.set_mode(StoreMode::Silent),
@@ -148,11 +161,36 @@
         Ok(())
     }
 
-    /// Ends every pause, so that all processes can end.
+    /// Ends every fault.
     pub fn heal(&mut self) -> Result<()> {
+        self.store.set_mode(StoreMode::Up);
+        for at in 0..REPLICAS {
+            self.replicas[at].set(Behavior::Answering(0));
+            self.register(at, "ready");
+        }
+        let ways = self.ways.iter().chain(&self.store_ways).chain(&self.relay_ways);
+        ways.for_each(|way| way.set_mode(LinkMode::Sound));
         self.gateways.iter().try_for_each(|gateway| gateway.signal(Signal::SIGCONT))
     }
 
+    /// Stops and starts each gateway in turn, as for an update.
+    pub async fn roll(&mut self) -> Result<()> {
+        for at in 0..self.gateways.len() {
+            self.play(&Fault::Terminate(at)).await?;
+            self.gateways[at].wait_for_line("a configuration is in force")?;
+        }
+        Ok(())
+    }
+
+    /// Has a replica say that it leaves; returns whether it got anything new after a while.
+    pub async fn drain(&self, at: usize, after: Duration) -> bool {
+        self.register(at, "draining");
+        tokio::time::sleep(after).await;
+        let runs = self.replicas[at].runs().len();
+        tokio::time::sleep(after).await;
+        self.replicas[at].runs().len() > runs
+    }
+
     fn restart(&mut self, at: usize) -> Result<()> {
         self.gateways[at].wait()?;
         let gateway = self.start_gateway(at)?;
@@ -164,8 +202,12 @@
     fn start_gateway(&self, at: usize) -> Result<GatewayProcess> {
         let seeds: Vec<SocketAddr> = self.gateways.iter().map(GatewayProcess::peers).collect();
         let domain = ["west", "east"][at % 2];
-        let store = self.store_ways[at].address();
-        GatewayProcess::start(&self.binary, &format!("vm-{at}"), domain, store, &seeds)
+        let (store, way) = (self.store_ways[at].address(), &self.relay_ways[at]);
+        let (name, relay) = (format!("vm-{at}"), Some(way.address()));
+        let gateway =
+            GatewayProcess::start_behind(&self.binary, &name, domain, store, &seeds, relay)?;
+        way.lead_to(gateway.relay());
+        Ok(gateway)
     }
 
     fn register(&self, at: usize, state: &str) {
--- a/crates/sassafrasproxy-soak/src/lib.rs
+++ b/crates/sassafrasproxy-soak/src/lib.rs
@@ -40,6 +40,14 @@
 /// The time between two requests of one caller.
 const CALLER_PAUSE: Duration = Duration::from_millis(8);
 
+/// How long after the last fault everything must work again.
+///
+/// Callers' connections that a fault silenced are given up after four seconds.
+const RECOVERY: Duration = Duration::from_secs(5);
+
+/// How long after its word a replica that leaves may get new work: the users' shortest bound.
+const DRAIN: Duration = Duration::from_secs(3);
+
 /// How many callers ask at a time.
 const CALLERS: usize = 6;
 
@@ -60,12 +68,19 @@
     let end = Duration::from_secs(settings.seconds);
     tokio::time::sleep(end.saturating_sub(start.elapsed())).await;
     fleet.heal()?;
+    tokio::time::sleep(RECOVERY).await;
+    check.begin_calm();
+    fleet.roll().await?;
+    let is_late = fleet.drain(0, DRAIN).await;
     check.stop();
     for caller in callers {
         caller.await?;
     }
     let Tally { mut broken, answers } = check.tally();
     broken.extend(check.against_replicas(&fleet));
+    if is_late {
+        broken.push("a replica that leaves got new work for too long".into());
+    }
     broken.extend(fleet.broken());
     Ok(SoakReport { broken, answers })
 }
--- a/crates/sassafrasproxy-soak/src/plan.rs
+++ b/crates/sassafrasproxy-soak/src/plan.rs
@@ -63,6 +63,14 @@
     StoreWayCut(usize),
     StoreWaySilenced(usize),
     StoreWaySound(usize),
+    /// The way to a gateway's relay port delays, loses asks or replies, or is sound.
+    RelayWayDelays(usize),
+    RelayWayLosesAsks(usize),
+    RelayWayLosesReplies(usize),
+    RelayWaySound(usize),
+    /// The open connections to it are reset, or carry nothing any more.
+    RelayWayReset(usize),
+    RelayWaySilenced(usize),
     /// A new configuration is written.
     Configure,
     /// The store refuses, falls silent, loses its answers, forgets its history, or is sound.
@@ -87,7 +95,7 @@
             }
             let node = rng.random_range(0..settings.nodes);
             let replica = rng.random_range(0..crate::fleet::REPLICAS);
-            let fault = match rng.random_range(0..38) {
+            let fault = match rng.random_range(0..45) {
                 0 => Fault::Kill(node),
                 1 => Fault::Pause(node),
                 2 | 3 => Fault::Resume(node),
@@ -116,7 +124,13 @@
                 33 => Fault::WaySilenced(replica),
                 34 => Fault::StoreWayCut(node),
                 35 => Fault::StoreWaySilenced(node),
-                _ => Fault::StoreWaySound(node),
+                36 | 37 => Fault::StoreWaySound(node),
+                38 => Fault::RelayWayDelays(node),
+                39 => Fault::RelayWayLosesAsks(node),
+                40 => Fault::RelayWayLosesReplies(node),
+                41 => Fault::RelayWayReset(node),
+                42 => Fault::RelayWaySilenced(node),
+                _ => Fault::RelayWaySound(node),
             };
             steps.push(Step { at: Duration::from_millis(at_ms), fault });
         }
