--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -378,9 +378,9 @@
 
     /// Where a node that has just started learns what stands in the store.
     ///
-    /// A list of the store crosses failure domains, and each page is paid for: of 64 nodes' bytes
-    /// between failure domains on a calm day 16 of 35 MB, and most of their 460 calls. Where
-    /// callers are sent to larger nodes, only these read it; the others ask one nearby.
+    /// Where callers are sent to larger nodes, only these list the store; the others ask one in
+    /// their failure domain. Lists and the watches before a fleet has met are paid for: 64 nodes
+    /// made 462 calls on a calm day, and make 296.
     pub fn start_from(&self, now_us: u64) -> StartFrom {
         let me = self.members.me();
         if me.cpu_millis >= self.policy.small_cpu_millis {
--- a/crates/sassafrasproxy-core/tests/store_follow.rs
+++ b/crates/sassafrasproxy-core/tests/store_follow.rs
@@ -96,10 +96,10 @@
     assert!(matches!(sync.next(gather_us), StoreStep::Watch { after_revision: 11, .. }));
 }
 
-/// The store takes all nodes' watches while it is down and never answers them, as in a played day of
-/// 64 nodes (hunt-68dd-19). It is back two seconds later and acknowledges a configuration, which
-/// must be in force five seconds later: by then every node must have given the watch up, though
-/// neither its connection nor any peer shows that something is wrong.
+/// The store takes all nodes' watches while it is down and never answers them. It is back two
+/// seconds later and acknowledges a configuration, which must be in force five seconds later: by
+/// then every node must have given the watch up, though neither its connection nor any peer shows
+/// that something is wrong. With a wait of 10 s, callers of 64 nodes got the old routes for ten.
 #[test]
 fn hung_watch() {
     const BACK_MS: u64 = 1_700;
