Log why no replica is left for a request of one service, and write two incidents up

Change: a line with service, why, replica asked last and whether it may have run; a test that fails without it.

--- a/crates/sassafrasproxy-cli/tests/request_story.rs
+++ b/crates/sassafrasproxy-cli/tests/request_story.rs
@@ -41,6 +41,21 @@
     assert!(!story.contains("a replica is listed           id=s0a"), "{story}");
 }
 
+/// A request for one service is refused, as none of its replicas is listed any more. The answer
+/// says that it did not run; the log must say which service that was and why, since a route's name
+/// alone does not lead to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused() {
+    let system = System::start(1).await;
+    for id in ["da", "db"] {
+        system.store.unlist(id);
+    }
+    system.ask_until(0, "/desk/7", |answer| answer.status == 503).await;
+    let line = system.gateways[0].wait_for_line("no replica is left to ask").unwrap();
+    assert_eq!((&line["service"], &line["end"]), (&"desk".into(), &"NoReplica".into()), "{line}");
+    assert_eq!((&line["last"], &line["may_have_run"]), (&"".into(), &false.into()), "{line}");
+}
+
 /// The metrics say how requests ended, and why.
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics() {
--- a/crates/sassafrasproxy-gateway/src/single.rs
+++ b/crates/sassafrasproxy-gateway/src/single.rs
@@ -65,6 +65,7 @@
             }
             FetchStep::Wait { until_us } => until_us.unwrap_or(end_us).min(end_us),
             FetchStep::Failed(failure) => {
+                note_failure(&request, &fetch, failure);
                 return fail(traffic, fetch.service(), failure, failure_answer);
             }
         };
@@ -90,6 +91,13 @@
     refuse(&traffic.metrics, refusal, None)
 }
 
+/// Logs why a request cannot be sent to any replica more, as its answer does not say.
+fn note_failure(request: &CallerRequest, fetch: &Fetch, failure: FetchFailure) {
+    let (request, service, last) = (&request.attempt_id, fetch.service(), fetch.last());
+    let FetchFailure { end, may_have_run } = failure;
+    log::info!(request:%, service:%, end:?, last, may_have_run; "no replica is left to ask");
+}
+
 /// The final answer when nothing more can be done: a replica's own failure before this node's.
 fn fail(
     traffic: &Traffic,
