Read the store at once on a small node that callers ask while it looks around

After a loss of all nodes the directory of a small one that has met nobody names itself; callers that went there were refused as long as it looked around for larger ones. Change: the refusal for want of a configuration tells the control thread, which then reads the store; a test that waits for that line.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -96,6 +96,17 @@
     }
 }
 
+/// All VMs lose power, and a small one is back first. It has met nobody, so its directory names
+/// itself, and a caller asks it: it must read the store then, and not look around for larger ones
+/// while callers are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn small_one_is_asked() {
+    let mut system = System::start(0).await;
+    let small = system.add_sized("west", 0.1);
+    system.ask_until(small, "/all/7", |answer| answer.status == 200).await;
+    system.gateways[small].wait_for_line("a caller asks before the store was read").unwrap();
+}
+
 /// The store loses its answers to writes: the registration is made again, and others see it.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answers() {
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -52,6 +52,8 @@
     pub view: watch::Sender<GatewayView>,
     /// Turns true when the process begins to leave.
     pub leaving: watch::Receiver<bool>,
+    /// Turns true when a caller was refused because no configuration is known yet.
+    pub asked: watch::Receiver<bool>,
     /// Deaths that the traffic thread saw.
     pub crashes_seen: mpsc::UnboundedReceiver<CrashReport>,
     /// Where the traffic thread hears of deaths that peers saw.
@@ -96,7 +98,7 @@
     LocalSet::new().block_on(&runtime, async move {
         let heartbeats = UdpSocket::from_std(start.heartbeats)?;
         let facts = TcpListener::from_std(start.facts)?;
-        spawn_local(follow_store(state.clone()));
+        spawn_local(follow_store(state.clone(), start.asked));
         spawn_local(keep_registered(state.clone(), me));
         spawn_local(serve_facts(state.clone(), facts));
         spawn_local(pull_facts(state.clone()));
--- a/crates/sassafrasproxy-gateway/src/follow.rs
+++ b/crates/sassafrasproxy-gateway/src/follow.rs
@@ -8,7 +8,8 @@
     DiscoveryEvent, StartFrom, StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy,
 };
 use sassafrasproxy_platform::{StoreCall, StoreError, WHOLE_STORE, decode_changes, decode_page};
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use crate::control::{CALL_LIMIT, ControlState};
 use crate::facts::{change_event, item_event};
@@ -28,11 +29,11 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Lists and watches the store for as long as the process runs.
-pub async fn follow_store(state: Rc<ControlState>) {
+pub async fn follow_store(state: Rc<ControlState>, asked: watch::Receiver<bool>) {
     let mut client = KeptClient::new(state.settings().store);
     let mut peer = FollowedPeer::default();
     let mut sync = StoreSync::new(StoreSyncPolicy::default(), rand::random());
-    if start_from_peer(&state, &mut peer).await {
+    if start_from_peer(&state, &mut peer, asked).await {
         sync.start_at(state.store_revision());
     }
     loop {
@@ -77,13 +78,27 @@
 }
 
 /// Learns what stands in the store from a peer, if this node is to; returns whether it did.
-async fn start_from_peer(state: &ControlState, peer: &mut FollowedPeer) -> bool {
+///
+/// A node that callers ask already reads the store at once: after a loss of all nodes the
+/// directory of one that has met nobody names itself.
+async fn start_from_peer(
+    state: &ControlState,
+    peer: &mut FollowedPeer,
+    mut asked: watch::Receiver<bool>,
+) -> bool {
     loop {
         let start_from = state.gossip.borrow().start_from(state.clock.now_us());
         match start_from {
             StartFrom::Store => return false,
             StartFrom::Peer { peer_address } => return peer.start(state, &peer_address).await,
-            StartFrom::LookAround => sleep(LOOK_INTERVAL).await,
+            StartFrom::LookAround if *asked.borrow_and_update() => {
+                log::info!("a caller asks before the store was read");
+                return false;
+            }
+            StartFrom::LookAround => {
+                // Either end of the wait means to look again.
+                let _ = timeout(LOOK_INTERVAL, asked.changed()).await;
+            }
         }
     }
 }
--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -35,7 +35,10 @@
         Ok(answer) => answer,
         Err(refusal) => {
             let retry_after_ms = match refusal {
-                Refusal::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
+                Refusal::NoConfiguration => {
+                    traffic.asked.send_replace(true);
+                    Some(NO_CONFIGURATION_RETRY_MS)
+                }
                 Refusal::CrashesReplicas => Some(CRASHES_RETRY_MS),
                 // Coming back would not help, or the answer says so itself.
                 Refusal::BadRequest
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -98,6 +98,7 @@
         let metrics_values = Arc::new(GatewayMetrics::new());
         let (view_sender, views) = watch::channel(GatewayView::default());
         let (leave, leaving) = watch::channel(false);
+        let (asked_sender, asked) = watch::channel(false);
         let (crashes, crashes_seen) = mpsc::unbounded_channel();
         let (crashes_heard, heard) = mpsc::unbounded_channel();
         let (settings, settings_changes) = watch::channel(self.settings.clone());
@@ -114,6 +115,7 @@
             crashes_heard,
             view: view_sender,
             leaving,
+            asked,
         };
         std::thread::Builder::new().name("control".into()).spawn(move || {
             if let Err(error) = control::run(start) {
@@ -122,8 +124,14 @@
         })?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, async {
-            let traffic =
-                Rc::new(Traffic::new(clock, self.settings, metrics_values, address, crashes));
+            let traffic = Rc::new(Traffic::new(
+                clock,
+                self.settings,
+                metrics_values,
+                address,
+                crashes,
+                asked_sender,
+            ));
             spawn_local(traffic.clone().follow(views));
             spawn_local(traffic.clone().follow_settings(settings_changes));
             spawn_local(traffic.clone().follow_crashes(heard));
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -48,6 +48,8 @@
     pub delays: RefCell<CallerDelays>,
     crash_watch: RefCell<CrashWatch>,
     /// Where deaths that this thread sees go, so that peers hear of them.
+    /// Turned true when a caller is refused because no configuration is known yet.
+    pub asked: watch::Sender<bool>,
     crashes: mpsc::UnboundedSender<CrashReport>,
     times: RefCell<IndexMap<EcoString, RouteTimes>>,
     splits: RefCell<IndexMap<EcoString, SplitChooser>>,
@@ -77,9 +79,11 @@
         metrics: Arc<GatewayMetrics>,
         address: EcoString,
         crashes: mpsc::UnboundedSender<CrashReport>,
+        asked: watch::Sender<bool>,
     ) -> Self {
         Self {
             clock,
+            asked,
             view: RefCell::default(),
             pool: RefCell::new(UpstreamPool::new(pool_settings(&settings))),
             budget: RefCell::new(RetryBudget::new(budget_policy(&settings), clock.now_us())),
