--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -82,8 +82,9 @@
 async fn small_one_starts() {
     let mut system = System::start(2).await;
     let small = system.add_sized("west", 0.1);
-    system.ask_until(small, "/all/7", |answer| answer.status == 200).await;
+    // Asked before it has started, it would read the store.
     let from_peer = system.gateways[small].wait_for_line("the node starts from a peer").unwrap();
+    system.ask_until(small, "/all/7", |answer| answer.status == 200).await;
     assert_eq!(from_peer["peer"], system.gateways[0].peers().to_string());
     let alone = system.add_sized("north", 0.1);
     system.ask_until(alone, "/all/7", |answer| answer.status == 200).await;
