--- a/crates/sassafrasproxy-core/src/forward/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/gossip.rs
@@ -17,7 +17,7 @@
     pub tick_us: u64,
     /// The same for a node that has just started and has heard from nobody, in microseconds.
     ///
-    /// Its seeds may start a moment after it: with half a second 62 of 64 nodes met nobody before.
+    /// Its seeds may start a moment after it: with half a second 61 of 64 nodes met nobody before.
     pub first_tick_us: u64,
     /// How many members are probed at each tick.
     ///
