--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -4,7 +4,6 @@
 
 mod gateway;
 
-use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -241,11 +240,9 @@
 
 /// Waits until every gateway has met all others.
 async fn wait_until_met(system: &System) {
+    let all = system.gateways.len() as u64;
     let has_met_all = |gateway: &GatewayProcess| {
-        let lines = gateway.lines();
-        let met = lines.iter().filter(|line| line["message"] == "a member changed");
-        let met: HashSet<&str> = met.filter_map(|line| line["member"].as_str()).collect();
-        met.len() + 1 >= system.gateways.len()
+        gateway.lines().iter().any(|line| line["members"].as_u64() == Some(all))
     };
     let end = Instant::now() + PATIENCE;
     while !system.gateways.iter().all(has_met_all) {
@@ -280,10 +277,24 @@
     let followed =
         system.gateways.iter().find(|gateway| gateway.peers().to_string() == peer).unwrap();
     followed.signal(Signal::SIGKILL).unwrap();
-    system.gateways[at].wait_for_line("the store is lost").unwrap();
+    system.gateways[at].wait_for_line("the peer is not followed for now").unwrap();
     TurnedAway { system, at, _door: door }
 }
 
+/// Guards against a watcher that the store turns away and that nobody tells what changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn watcher_turned_away() {
+    // So few that all watch the store.
+    let mut system = System::start(3).await;
+    let door = system.store.door();
+    let at = system.add_gateway_at(door.address());
+    wait_until_met(&system).await;
+    system.ask_until(at, "/desk/1", |answer| answer.status == 200).await;
+    door.refuse(Some(503));
+    system.gateways[at].wait_for_line("the store is lost").unwrap();
+    remove_replica(&TurnedAway { system, at, _door: door }).await;
+}
+
 /// Takes a replica's entry away: the node sends nothing to it once it could have heard of that.
 async fn remove_replica(system: &TurnedAway) {
     system.store.unlist("da");
--- a/crates/sassafrasproxy-core/src/control/members.rs
+++ b/crates/sassafrasproxy-core/src/control/members.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Which of a number of buckets it falls into.
+    fn bucket(&self, count: usize) -> usize {
+        (self.name_hash % count as u64) as usize
+    }
+
     fn new(update: &MemberUpdate, now_us: u64) -> Self {
         Self {
             node: update.node.clone(),
@@ -161,6 +166,33 @@
         self.hash
     }
 
+    /// The member whose name has a hash, dead ones included.
+    pub fn by_hash(&self, name_hash: u64) -> Option<&Member> {
+        self.members.values().find(|member| member.name_hash == name_hash)
+    }
+
+    /// Hashes over the members that are not dead, split over a number of buckets by name.
+    ///
+    /// Two nodes that disagree on few members find these in the buckets that differ.
+    pub fn digests(&self, count: usize) -> Vec<u32> {
+        let mut digests = vec![0_u32; count];
+        for member in self.members.values() {
+            let digest = &mut digests[member.bucket(count)];
+            *digest = digest.wrapping_add(member.entry_hash as u32);
+        }
+        digests
+    }
+
+    /// The members, dead ones included, in the buckets that differ from a peer's digests.
+    pub fn differing(&self, theirs: &[u32]) -> Vec<&Member> {
+        let ours = self.digests(theirs.len());
+        let is_differing = |member: &&Member| {
+            let bucket = member.bucket(theirs.len());
+            ours[bucket] != theirs[bucket]
+        };
+        self.members.values().filter(is_differing).collect()
+    }
+
     /// Takes news on one member in, by incarnation and then by state.
     pub fn merge(&mut self, now_us: u64, update: &MemberUpdate) -> Option<MemberChange> {
         if update.node == self.me {
@@ -268,6 +300,11 @@
         candidates.sample(rng, count).copied().collect()
     }
 
+    /// The members that changed since the last call, for who spreads the news by itself.
+    pub fn take_changed(&mut self) -> Vec<EcoString> {
+        self.news.drain(..).map(|(node, _)| node).collect()
+    }
+
     /// The news to send along: fresh ones first, then a slow round through the whole table.
     pub fn take_news(&mut self, count: usize, fill: usize) -> Vec<MemberUpdate> {
         let fresh: Vec<EcoString> = self.news.keys().take(count).cloned().collect();
--- a/crates/sassafrasproxy-core/src/forward/registry/facts.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/facts.rs
@@ -31,6 +31,9 @@
 pub struct NodeRegistration {
     /// The node as a member.
     pub member: MemberUpdate,
+    /// How many nodes it knew, so that one that starts does not take the fleet for small.
+    #[serde(default)]
+    pub node_count: u32,
 }
 
 /// What a fact is about.
--- /dev/null
+++ b/crates/sassafrasproxy-core/src/forward/registry/following.rs
@@ -0,0 +1,125 @@
+//! Which nodes watch the store, and from whom the others learn.
+
+use ecow::EcoString;
+use indexmap::IndexMap;
+use sassafrasproxy_wire::MemberState;
+
+use crate::{Member, MemberTable};
+
+/// How long a peer that could not be followed is passed over, in microseconds.
+const FAILED_US: u64 = 8_000_000;
+
+/// How long a node that the store turned away is passed over, in microseconds.
+const AWAY_US: u64 = 30_000_000;
+
+/// How many peers are passed over at the most; then the one that failed first is tried again.
+///
+/// Bounds the nodes that take a watcher's place at the same time while the store itself fails.
+const MAX_PASSED_OVER: usize = 8;
+
+/// How many nodes learn from the same one.
+const FAN_OUT: usize = 16;
+
+/// Where a node learns what stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Follow {
+    /// From the store.
+    Store,
+    /// From a peer that knows it.
+    Peer {
+        /// The peer's address.
+        peer_address: EcoString,
+    },
+}
+
+/// The order in which nodes watch the store.
+///
+/// All nodes that agree on the members agree on the order, so a fleet of any size has the same few
+/// watchers. A node takes a watcher's place only if it found others before it unfit.
+#[derive(Debug, Default)]
+pub struct Following {
+    /// By name; at most `MAX_PASSED_OVER`.
+    passed_over: IndexMap<EcoString, PassedOver>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PassedOver {
+    until_us: u64,
+    /// Whether it said itself that the store turns it away.
+    is_away: bool,
+}
+
+impl Following {
+    /// Notes that a peer could not be followed.
+    pub fn note_failed(&mut self, now_us: u64, node: EcoString) {
+        self.pass_over(now_us, node, PassedOver { until_us: now_us + FAILED_US, is_away: false });
+    }
+
+    /// Notes whether the store turns a member away, by its own word.
+    pub fn note_away(&mut self, now_us: u64, node: &EcoString, is_away: bool) {
+        if is_away {
+            let until_us = now_us + AWAY_US;
+            self.pass_over(now_us, node.clone(), PassedOver { until_us, is_away });
+        } else if self.passed_over.get(node).is_some_and(|known| known.is_away) {
+            self.passed_over.shift_remove(node);
+        }
+    }
+
+    /// Where this node learns what stands in the store.
+    ///
+    /// The first node of a failure domain learns from the store or from a watcher; the others form
+    /// a tree below it, so that a change crosses to each failure domain once.
+    pub fn follow(&self, now_us: u64, members: &MemberTable, watchers: usize) -> Follow {
+        let order = self.order(now_us, members);
+        let me = members.me();
+        let is_watcher = order.iter().take(watchers).any(|member| member.node == me.node);
+        if is_watcher || order.is_empty() {
+            return Follow::Store;
+        }
+        let near: Vec<&Member> =
+            order.iter().copied().filter(|one| one.domain_hash == me.domain_hash).collect();
+        let place = near.iter().position(|member| member.node == me.node);
+        let source = match place {
+            Some(0) => order[(me.name_hash % watchers.min(order.len()) as u64) as usize],
+            Some(place) => near[(place - 1) / FAN_OUT],
+            // This node is leaving: whoever is first serves it.
+            None => near.first().copied().unwrap_or(order[0]),
+        };
+        Follow::Peer { peer_address: source.peer_address.clone() }
+    }
+
+    /// Whether this node is among the first of the order.
+    pub fn is_among_first(&self, now_us: u64, members: &MemberTable, count: usize) -> bool {
+        let me = &members.me().node;
+        self.order(now_us, members).iter().take(count).any(|member| member.node == *me)
+    }
+
+    /// The nodes that are alive, failure domains by turns, those passed over last.
+    ///
+    /// This node never passes itself over: while the store fails for all, the same few go on trying.
+    fn order<'a>(&self, now_us: u64, members: &'a MemberTable) -> Vec<&'a Member> {
+        let alive = members.present().filter(|member| member.state == MemberState::Alive);
+        let is_unfit = |one: &Member| {
+            self.passed_over.get(&one.node).is_some_and(|known| now_us < known.until_us)
+        };
+        let mut sorted: Vec<(bool, &Member)> = alive.map(|one| (is_unfit(one), one)).collect();
+        sorted.sort_by_cached_key(|(is_unfit, one)| (*is_unfit, one.name_hash, one.node.clone()));
+        let mut in_domain: IndexMap<u64, usize> = IndexMap::new();
+        let mut ranked = Vec::new();
+        for (is_unfit, member) in sorted {
+            let rank = in_domain.entry(member.domain_hash).or_default();
+            ranked.push(((is_unfit, *rank), member));
+            *rank += 1;
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, member)| member).collect()
+    }
+
+    fn pass_over(&mut self, now_us: u64, node: EcoString, passed_over: PassedOver) {
+        self.passed_over.retain(|_, known| now_us < known.until_us);
+        self.passed_over.insert(node, passed_over);
+        if self.passed_over.len() > MAX_PASSED_OVER {
+            self.passed_over.shift_remove_index(0);
+        }
+    }
+}
--- a/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
@@ -1,12 +1,19 @@
 //! Who is there: heartbeats between nodes over datagrams, in the manner of SWIM.
+//!
+//! A heartbeat says whether its sender is alive, and a hash of the members that it knows. Only nodes
+//! whose hashes differ tell each other more: first what changed lately, then, by digests, what else
+//! differs. So a fleet in calm pays for its probes alone, however large it is.
 
 use ecow::EcoString;
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sassafrasproxy_wire::{Heartbeat, Hlc, MemberState, MemberUpdate};
-use serde::{Deserialize, Serialize};
+use rand::seq::{IndexedRandom, SliceRandom};
+use sassafrasproxy_wire::{MemberState, MemberUpdate};
 
+use super::datagram::{DatagramKind, MemberNews, Newest, PeerDatagram, Sender};
+use super::following::{Follow, Following};
+use super::recent_news::RecentNews;
 use crate::control::MemberChange;
 use crate::{CrashReport, DirectoryNode, Member, MemberTable};
 
@@ -15,41 +22,33 @@
 pub struct GossipPolicy {
     /// The time between two ticks, in microseconds.
     pub tick_us: u64,
-    /// The same for a node that has just started and has heard from nobody, in microseconds.
-    ///
-    /// Its seeds may start a moment after it: with half a second 61 of 64 nodes met nobody before.
+    /// The same for a node that has just started and still differs from its peers.
     pub first_tick_us: u64,
+    /// How long a node counts as just started, in microseconds.
+    pub young_us: u64,
     /// How many members are probed at each tick.
-    ///
-    /// Two of eight at each half second: a member is probed by somebody every quarter of a
-    /// second, at the same cost for each node however many there are.
     pub probes: usize,
+    /// How long a probe may take, in microseconds: less than a tick, as timers fire unevenly.
+    pub answer_us: u64,
     /// How many probes of a member must fail in a row before it is suspected; datagrams get lost.
     pub misses: u32,
     /// How long a suspected member has to refute, in microseconds.
     pub suspect_us: u64,
     /// How long a dead member is remembered, in microseconds.
     pub forget_us: u64,
-    /// How many news on members go with a heartbeat.
-    pub news: usize,
     /// How many nodes watch the store; all do in a smaller fleet.
-    ///
-    /// One in each of four failure domains: the loss of one domain leaves three. 64 nodes made
-    /// 460 calls on a calm day with four watchers and 576 with eight; 62 that all watched, 2,200.
-    /// On a day on which the store turns nodes away it is 1,539 to 1,976, and 2,142 with eight.
     pub watchers: usize,
+    /// How many nodes keep a registration in the store, where new nodes look for others.
+    pub registered: usize,
+    /// How long a node that is not alone waits before it registers: its seeds may know the fleet.
+    pub register_after_us: u64,
     /// Below how much of a core, in thousandths, a node looks for a larger one to start from.
-    ///
-    /// An eighth of a core served 18 of 238 short queries in their goal: callers are not sent to
-    /// such nodes while there are larger ones, so they need not serve within milliseconds.
     pub small_cpu_millis: u32,
     /// How long such a node looks around before it reads the store itself, in microseconds.
     ///
-    /// Eight heartbeats; the failure domains that can be lost at once may hold all larger nodes.
+    /// The failure domains that can be lost at once may hold all larger nodes.
     pub look_around_us: u64,
-    /// How long it looks around if it hears of no larger node, in microseconds.
-    ///
-    /// All nodes of a deployment start within 0.3 s of each other, and meet at the next first tick.
+    /// How long a node that hears of nobody, or of no larger node, looks around, in microseconds.
     pub alone_us: u64,
 }
 
@@ -58,12 +57,15 @@
         Self {
             tick_us: 500_000,
             first_tick_us: 100_000,
+            young_us: 10_000_000,
             probes: 2,
+            answer_us: 450_000,
             misses: 2,
             suspect_us: 1_200_000,
             forget_us: 30_000_000,
-            news: 6,
             watchers: 4,
+            registered: 8,
+            register_after_us: 2_000_000,
             small_cpu_millis: 200,
             look_around_us: 4_000_000,
             alone_us: 600_000,
@@ -71,51 +73,26 @@
     }
 }
 
-/// How many datagrams carry a report of a crash: all peers of a large fleet once, and some more,
-/// as datagrams get lost.
-const CRASH_REPEATS: u32 = 80;
+/// How many of a node's datagrams carry a report of a crash.
+const CRASH_SENDS: u32 = 24;
 
-/// One datagram between nodes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct PeerDatagram {
-    /// Whether it answers a probe.
-    pub is_reply: bool,
-    /// The sender and its news; `revision` is its configuration's version.
-    pub heartbeat: Heartbeat,
-    /// The newest revision of the store that the sender has heard of.
-    pub newest: Newest,
-    /// Whether the store turns the sender away.
-    pub is_store_away: bool,
-    /// Deaths of replicas under requests that the sender saw lately.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashReport>,
-}
+/// How long a report of a crash is remembered, in microseconds, so that it is passed on once.
+const CRASH_MEMORY_US: u64 = 30_000_000;
 
-/// The newest revision of the store that anybody was heard to follow to.
-///
-/// Passed on with each heartbeat, as a node of a large fleet hears from each other one only every
-/// quarter of a minute: a node whose watch went silent must know within seconds that there is more.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Newest {
-    /// The revision.
-    pub revision: u64,
-    /// The peer address of a node that follows the store so far.
-    pub peer_address: EcoString,
-}
+/// How many reports a datagram carries at the most.
+const MAX_CRASHES: usize = 16;
 
-/// Where a node learns what stands in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Follow {
-    /// From the store.
-    Store,
-    /// From a peer that watches the store.
-    Peer {
-        /// The peer's address.
-        peer_address: EcoString,
-    },
-}
+/// How many peers hear at once of what cannot wait; they pass it on.
+const NOTICE_PEERS: usize = 24;
+
+/// How many addresses that are no member's are tried at a tick.
+const MAX_STRANGERS: usize = 8;
+
+/// How many members share a digest.
+const MEMBERS_A_DIGEST: usize = 4;
+
+/// The most digests in a datagram: half of its room.
+const MAX_DIGESTS: usize = 128;
 
 /// Where a node that has just started learns what stands in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -157,11 +134,13 @@
     members: MemberTable,
     /// Peer addresses to try that are no member's.
     seeds: IndexSet<EcoString>,
-    /// Probes without an answer yet, by member: when the last was sent and how many failed.
+    /// Probes without an answer yet, by member.
     probes: IndexMap<EcoString, Probe>,
-    /// Whether the store turned each member away when it was last heard.
-    is_away: IndexMap<EcoString, bool>,
+    recent: RecentNews,
+    following: Following,
     started_us: u64,
+    /// Whether the last peer that was heard knew other members than this node.
+    differs: bool,
     version: u64,
     /// How far this node follows the store.
     store_revision: u64,
@@ -169,16 +148,22 @@
     /// Never below `store_revision`.
     newest: Newest,
     notes: Vec<MemberNote>,
-    /// Reports that still go along with heartbeats, and how many heartbeats more.
-    crashes: IndexMap<CrashReport, u32>,
+    crashes: IndexMap<CrashReport, CrashNews>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Probe {
-    is_waiting: bool,
+    /// When the last probe was sent; `None` once it counted as missed.
+    sent_us: Option<u64>,
     misses: u32,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct CrashNews {
+    until_us: u64,
+    sends_left: u32,
+}
+
 impl Gossip {
     /// A membership of this node only.
     pub fn new(
@@ -194,8 +179,10 @@
             members: MemberTable::new(me, now_us),
             seeds: seeds.into_iter().collect(),
             probes: IndexMap::new(),
-            is_away: IndexMap::new(),
+            recent: RecentNews::default(),
+            following: Following::default(),
             started_us: now_us,
+            differs: true,
             version: 0,
             store_revision: 0,
             is_store_away: false,
@@ -204,6 +191,7 @@
             crashes: IndexMap::new(),
         };
         gossip.seeds.swap_remove(&me.peer_address);
+        gossip.note_changed(now_us, true);
         gossip
     }
 
@@ -220,12 +208,6 @@
         self.is_store_away = is_away;
     }
 
-    fn hear_of(&mut self, heard: &Newest) {
-        if heard.revision >= self.newest.revision {
-            self.newest = heard.clone();
-        }
-    }
-
     /// Adds a peer address to try.
     pub fn add_seed(&mut self, peer_address: EcoString) {
         if self.members.me().peer_address != peer_address {
@@ -235,70 +217,96 @@
 
     /// The time until the next tick, in microseconds.
     pub fn tick_in_us(&self, now_us: u64) -> u64 {
-        let is_new = now_us < self.started_us + self.policy.alone_us;
-        let is_alone = is_new && self.node_count() == 1;
-        if is_alone { self.policy.first_tick_us } else { self.policy.tick_us }
+        let is_alone = now_us < self.started_us + self.policy.alone_us && self.node_count() == 1;
+        let is_hurried = is_alone || (self.is_young(now_us) && self.differs);
+        if is_hurried { self.policy.first_tick_us } else { self.policy.tick_us }
+    }
+
+    /// Changes whenever a member does.
+    pub fn members_hash(&self) -> u64 {
+        self.members.hash()
     }
 
     /// Takes the passing of a tick in, and returns what to send.
     pub fn tick(&mut self, now_us: u64) -> Vec<PeerSend> {
         self.count_misses(now_us);
         let changes = self.members.expire(now_us, self.policy.suspect_us, self.policy.forget_us);
-        self.note(changes);
-        let mut targets = self.probe_again();
+        self.note(now_us, changes);
+        let mut targets = self.probe_again(now_us);
         for _ in 0..self.policy.probes {
             let Some(member) = self.members.next_probe(&mut self.rng) else { break };
             targets.insert(member.peer_address.clone());
             let node = member.node.clone();
-            self.probes.entry(node).or_default().is_waiting = true;
+            self.probes.entry(node).or_default().sent_us.get_or_insert(now_us);
         }
-        let known: IndexSet<&EcoString> =
-            self.members.present().map(|member| &member.peer_address).collect();
-        let strangers = self.seeds.iter().filter(|seed| !known.contains(seed));
-        targets.extend(strangers.cloned());
-        targets.into_iter().map(|to| self.send(to, false)).collect()
+        let mut sends: Vec<PeerSend> =
+            targets.into_iter().map(|to| self.probe(now_us, to)).collect();
+        if self.is_young(now_us) && self.differs {
+            let digests = self.digests();
+            sends.iter_mut().for_each(|send| send.datagram.digests = digests.clone());
+        }
+        for stranger in self.strangers() {
+            let mut introduction = self.probe(now_us, stranger);
+            introduction.datagram.fill([MemberNews::whole(self.members.me())]);
+            sends.push(introduction);
+        }
+        sends
     }
 
     /// Takes a datagram in, and returns the answer if it is owed one.
-    pub fn hear(&mut self, now_us: u64, datagram: &PeerDatagram) -> Option<PeerSend> {
-        let heartbeat = &datagram.heartbeat;
-        let from = &heartbeat.from;
-        let mut changes: Vec<_> = self.members.merge(now_us, from).into_iter().collect();
-        for update in &heartbeat.updates {
-            changes.extend(self.members.merge(now_us, update));
+    pub fn hear(
+        &mut self,
+        now_us: u64,
+        peer_address: &str,
+        datagram: &PeerDatagram,
+    ) -> Option<PeerSend> {
+        let from = &datagram.from;
+        let is_introduction = !datagram.news.is_empty();
+        for news in &datagram.news {
+            self.take_news(now_us, news);
         }
-        self.note(changes);
-        self.members.note_heard(now_us, heartbeat);
-        self.is_away.insert(from.node.clone(), datagram.is_store_away);
-        if datagram.newest.revision > self.newest.revision {
-            self.hear_of(&datagram.newest);
+        self.hear_sender(now_us, datagram);
+        self.hear_crashes(now_us, &datagram.crashes);
+        self.differs = datagram.members_hash != self.members.hash();
+        let is_probe = datagram.kind == DatagramKind::Probe;
+        if !self.differs && !is_probe {
+            return None;
+        }
+        let kind = reply_kind(datagram.kind)?;
+        let mut reply = self.datagram(now_us, kind);
+        if !self.differs {
+            return Some(PeerSend { peer_address: peer_address.into(), datagram: reply });
         }
-        self.probes.shift_remove(&from.node);
         // A node that is thought dead or suspected learns so at once, and refutes it.
-        let known = self.members.member(&from.node).map(Member::as_update);
-        let wrong = known.filter(|known| known.state != from.state);
-        if datagram.is_reply && wrong.is_none() {
-            return None;
+        let known = self.members.member(&from.node);
+        let wrong = known.filter(|known| known.state != from.state).map(MemberNews::brief);
+        reply.fill(wrong);
+        if is_probe && is_introduction {
+            reply.fill([MemberNews::whole(self.members.me())]);
         }
-        let mut reply = self.send(from.peer_address.clone(), true);
-        reply.datagram.heartbeat.updates.extend(wrong);
-        Some(reply)
+        let is_compared = !datagram.digests.is_empty();
+        if is_compared || kind != DatagramKind::Answer {
+            reply.digests = self.digests();
+        }
+        if is_compared {
+            self.fill_differing(&mut reply, &datagram.digests);
+        } else {
+            reply.fill(self.recent.pick(now_us, &self.members, &mut self.rng));
+        }
+        Some(PeerSend { peer_address: peer_address.into(), datagram: reply })
     }
 
-    /// Announces that this node is leaving, to all peers at once.
+    /// Announces that this node is leaving, to some peers at once, which pass it on.
     pub fn leave(&mut self, now_us: u64) -> Vec<PeerSend> {
         self.members.leave(now_us);
-        let peers: Vec<EcoString> =
-            self.members.peers().map(|peer| peer.peer_address.clone()).collect();
-        peers.into_iter().map(|to| self.send(to, false)).collect()
+        self.note_changed(now_us, false);
+        self.notify(now_us)
     }
 
-    /// Tells all peers at once that a replica died under a request; heartbeats repeat it.
-    pub fn report_crash(&mut self, report: CrashReport) -> Vec<PeerSend> {
-        self.crashes.insert(report, CRASH_REPEATS);
-        let peers: Vec<EcoString> =
-            self.members.peers().map(|peer| peer.peer_address.clone()).collect();
-        peers.into_iter().map(|to| self.send(to, false)).collect()
+    /// Tells some peers at once that a replica died under a request; they pass it on.
+    pub fn report_crash(&mut self, now_us: u64, report: CrashReport) -> Vec<PeerSend> {
+        self.hear_crashes(now_us, &[report]);
+        self.notify(now_us)
     }
 
     /// The changes of members since the last call.
@@ -335,52 +343,37 @@
     }
 
     /// Where to follow the store.
-    ///
-    /// Each watch costs its calls, so only [`GossipPolicy::watchers`] nodes
-    /// watch: the first by hash in each failure domain by turns, those left out that the store
-    /// turns away. A node that sees fewer watches itself, at the cost of some calls.
-    ///
-    /// A follower whose watcher stands still hears of news from others' heartbeats within a second
-    /// and then asks the store itself: a change must be in force within three.
-    pub fn follow(&self) -> Follow {
-        let is_fit = |member: &&Member| {
-            let is_away = match member.node == self.members.me().node {
-                true => Some(&self.is_store_away),
-                false => self.is_away.get(&member.node),
-            };
-            member.state == MemberState::Alive && is_away == Some(&false)
-        };
-        let mut fit: Vec<&Member> = self.members.present().filter(is_fit).collect();
-        fit.sort_by_key(|member| (member.name_hash, member.node.clone()));
-        let mut in_domain: IndexMap<u64, usize> = IndexMap::new();
-        let mut ranked: Vec<(usize, &Member)> = Vec::new();
-        for member in fit {
-            let count = in_domain.entry(member.domain_hash).or_default();
-            ranked.push((*count, member));
-            *count += 1;
-        }
-        ranked.sort_by_key(|(rank, _)| *rank);
-        let watchers: Vec<&Member> =
-            ranked.iter().take(self.policy.watchers).map(|(_, member)| *member).collect();
-        let me = self.members.me();
-        if watchers.len() < self.policy.watchers || watchers.iter().any(|one| one.node == me.node) {
-            return Follow::Store;
+    pub fn follow(&self, now_us: u64) -> Follow {
+        self.following.follow(now_us, &self.members, self.policy.watchers)
+    }
+
+    /// Notes that a peer could not be followed, so that another is.
+    pub fn note_not_followed(&mut self, now_us: u64, peer_address: &str) {
+        let Some(member) = self.members.at(peer_address) else { return };
+        self.following.note_failed(now_us, member.node.clone());
+    }
+
+    /// Notes that the store turns away a peer that is followed.
+    pub fn note_peer_away(&mut self, now_us: u64, peer_address: &str) {
+        let Some(member) = self.members.at(peer_address) else { return };
+        self.following.note_away(now_us, &member.node, true);
+    }
+
+    /// Whether this node keeps a registration in the store.
+    pub fn is_registrar(&self, now_us: u64) -> bool {
+        let age_us = now_us.saturating_sub(self.started_us);
+        if self.node_count() == 1 {
+            return age_us >= self.policy.alone_us;
         }
-        // A configuration has some hundred kilobytes, and each node gets all of it: from a watcher
-        // in its own failure domain it crosses to no other.
-        let near: Vec<&Member> =
-            watchers.iter().copied().filter(|one| one.domain_hash == me.domain_hash).collect();
-        let choice = if near.is_empty() { watchers } else { near };
-        // Each node follows one of them, so that they share the others out.
-        let own = choice[(me.name_hash % choice.len() as u64) as usize];
-        Follow::Peer { peer_address: own.peer_address.clone() }
+        let count = self.policy.registered;
+        age_us >= self.policy.register_after_us
+            && self.following.is_among_first(now_us, &self.members, count)
     }
 
     /// Where a node that has just started learns what stands in the store.
     ///
     /// Where callers are sent to larger nodes, only these list the store; the others ask one in
-    /// their failure domain. Lists and the watches before a fleet has met are paid for: 64 nodes
-    /// made 462 calls on a calm day, and make 296.
+    /// their failure domain.
     pub fn start_from(&self, now_us: u64) -> StartFrom {
         let me = self.members.me();
         if me.cpu_millis >= self.policy.small_cpu_millis {
@@ -407,16 +400,74 @@
         StartFrom::Store
     }
 
+    fn is_young(&self, now_us: u64) -> bool {
+        now_us < self.started_us + self.policy.young_us && self.node_count() > 1
+    }
+
+    fn hear_of(&mut self, heard: &Newest) {
+        if heard.revision >= self.newest.revision {
+            self.newest = heard.clone();
+        }
+    }
+
+    /// Takes in what a datagram says of its sender.
+    fn hear_sender(&mut self, now_us: u64, datagram: &PeerDatagram) {
+        let from = &datagram.from;
+        if let Some(known) = self.members.member(&from.node) {
+            let incarnation = from.incarnation;
+            let update = MemberUpdate { incarnation, state: from.state, ..known.as_update() };
+            self.merge(now_us, &update);
+            self.following.note_away(now_us, &from.node, datagram.is_store_away);
+        }
+        if datagram.newest.revision > self.newest.revision {
+            self.hear_of(&datagram.newest);
+        }
+        self.probes.shift_remove(&from.node);
+    }
+
+    fn take_news(&mut self, now_us: u64, news: &MemberNews) {
+        match news {
+            MemberNews::Whole(member) => self.merge(now_us, &member.update()),
+            MemberNews::Brief { name_hash, incarnation, state } => {
+                // A member that is not known yet comes whole once the digests were compared.
+                let Some(known) = self.members.by_hash(*name_hash) else { return };
+                let (incarnation, state) = (*incarnation, *state);
+                let update = MemberUpdate { incarnation, state, ..known.as_update() };
+                self.merge(now_us, &update);
+            }
+        }
+    }
+
+    fn merge(&mut self, now_us: u64, update: &MemberUpdate) {
+        let is_same_place = |known: &Member| {
+            let (incarnation, state) = (update.incarnation, update.state);
+            MemberUpdate { incarnation, state, ..known.as_update() } == *update
+        };
+        let is_whole = !self.members.member(&update.node).is_some_and(is_same_place);
+        let change = self.members.merge(now_us, update);
+        self.log_changes(change);
+        self.note_changed(now_us, is_whole);
+    }
+
+    fn hear_crashes(&mut self, now_us: u64, reports: &[CrashReport]) {
+        self.crashes.retain(|_, news| now_us < news.until_us);
+        for report in reports {
+            let until_us = now_us + CRASH_MEMORY_US;
+            let news = CrashNews { until_us, sends_left: CRASH_SENDS };
+            self.crashes.entry(*report).or_insert(news);
+        }
+    }
+
     /// Probes members that missed their last probe once more, and returns where they are.
     ///
-    /// Without it the next probe of the same member comes a whole round later, half a minute in
-    /// a fleet of 120, and a lost failure domain would be named to callers all the while.
-    fn probe_again(&mut self) -> IndexSet<EcoString> {
+    /// The next probe of the same member comes a whole round later, and a lost failure domain
+    /// would be named to callers all the while.
+    fn probe_again(&mut self, now_us: u64) -> IndexSet<EcoString> {
         let mut targets = IndexSet::new();
         for (node, probe) in &mut self.probes {
             let Some(member) = self.members.member(node) else { continue };
-            if probe.misses > 0 && member.state == MemberState::Alive {
-                probe.is_waiting = true;
+            if probe.misses > 0 && probe.sent_us.is_none() && member.state == MemberState::Alive {
+                probe.sent_us = Some(now_us);
                 targets.insert(member.peer_address.clone());
             }
         }
@@ -427,7 +478,9 @@
     fn count_misses(&mut self, now_us: u64) {
         let mut silent = Vec::new();
         for (node, probe) in &mut self.probes {
-            if std::mem::take(&mut probe.is_waiting) {
+            let is_late = |sent_us: u64| now_us >= sent_us + self.policy.answer_us;
+            if probe.sent_us.is_some_and(is_late) {
+                probe.sent_us = None;
                 probe.misses += 1;
             }
             if probe.misses >= self.policy.misses {
@@ -437,33 +490,100 @@
         for node in silent {
             self.probes.shift_remove(&node);
             let change = self.members.suspect(now_us, &node);
-            self.note(change);
+            self.note(now_us, change);
         }
     }
 
-    fn note(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
+    /// Some addresses to try that are no member's, other ones each time.
+    fn strangers(&mut self) -> Vec<EcoString> {
+        let unknown: Vec<EcoString> =
+            self.seeds.iter().filter(|seed| self.members.at(seed).is_none()).cloned().collect();
+        unknown.sample(&mut self.rng, MAX_STRANGERS).cloned().collect()
+    }
+
+    fn note(&mut self, now_us: u64, changes: impl IntoIterator<Item = MemberChange>) {
+        self.log_changes(changes);
+        self.note_changed(now_us, false);
+    }
+
+    fn log_changes(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
         let notes = changes.into_iter();
         self.notes
             .extend(notes.map(|change| MemberNote { node: change.node, state: change.state }));
     }
 
-    fn send(&mut self, peer_address: EcoString, is_reply: bool) -> PeerSend {
-        let heartbeat = Heartbeat {
-            from: self.members.me().as_update(),
-            revision: self.version,
-            holdings_version: 0,
-            members_hash: self.members.hash(),
-            wants_news: false,
-            updates: self.members.take_news(self.policy.news, 1),
-            hlc: Hlc::default(),
+    /// Notes which members changed, for peers that differ.
+    fn note_changed(&mut self, now_us: u64, is_whole: bool) {
+        for node in self.members.take_changed() {
+            self.recent.note(now_us, node, is_whole);
+        }
+    }
+
+    /// Adds what a peer whose digests differ may not know, in a random order.
+    fn fill_differing(&mut self, reply: &mut PeerDatagram, theirs: &[u32]) {
+        let mut differing = self.members.differing(theirs);
+        differing.shuffle(&mut self.rng);
+        reply.fill(differing.into_iter().map(|member| match member.state {
+            MemberState::Dead => MemberNews::brief(member),
+            MemberState::Alive | MemberState::Suspect | MemberState::Leaving => {
+                MemberNews::whole(member)
+            }
+        }));
+    }
+
+    fn digests(&self) -> Vec<u32> {
+        let count = self.node_count().div_ceil(MEMBERS_A_DIGEST).next_power_of_two();
+        self.members.digests(count.min(MAX_DIGESTS))
+    }
+
+    /// Tells some peers, the same for any size of fleet.
+    fn notify(&mut self, now_us: u64) -> Vec<PeerSend> {
+        let peers = self.members.random_peers(&mut self.rng, NOTICE_PEERS, "");
+        let peers: Vec<EcoString> = peers.iter().map(|peer| peer.peer_address.clone()).collect();
+        let notice = |peer_address| PeerSend {
+            peer_address,
+            datagram: self.datagram(now_us, DatagramKind::Notice),
         };
-        let (newest, is_store_away) = (self.newest.clone(), self.is_store_away);
-        let crashes = self.crashes.keys().copied().collect();
-        self.crashes.retain(|_, left| {
-            *left = left.saturating_sub(1);
-            *left > 0
+        peers.into_iter().map(notice).collect()
+    }
+
+    fn probe(&mut self, now_us: u64, peer_address: EcoString) -> PeerSend {
+        PeerSend { peer_address, datagram: self.datagram(now_us, DatagramKind::Probe) }
+    }
+
+    /// A datagram with what every datagram says.
+    fn datagram(&mut self, now_us: u64, kind: DatagramKind) -> PeerDatagram {
+        let me = self.members.me();
+        let from = Sender { node: me.node.clone(), incarnation: me.incarnation, state: me.state };
+        let waiting = self
+            .crashes
+            .iter_mut()
+            .filter(|(_, news)| news.sends_left > 0 && now_us < news.until_us);
+        let crashes = waiting.map(|(report, news)| {
+            news.sends_left -= 1;
+            *report
         });
-        let datagram = PeerDatagram { is_reply, heartbeat, newest, is_store_away, crashes };
-        PeerSend { peer_address, datagram }
+        PeerDatagram {
+            kind,
+            from,
+            version: self.version,
+            members_hash: self.members.hash(),
+            newest: self.newest.clone(),
+            is_store_away: self.is_store_away,
+            crashes: crashes.take(MAX_CRASHES).collect(),
+            digests: Vec::new(),
+            news: Vec::new(),
+        }
+    }
+}
+
+/// The next step of an exchange between nodes that differ.
+fn reply_kind(heard: DatagramKind) -> Option<DatagramKind> {
+    match heard {
+        DatagramKind::Probe => Some(DatagramKind::Answer),
+        DatagramKind::Answer | DatagramKind::Notice => Some(DatagramKind::Compare),
+        DatagramKind::Compare => Some(DatagramKind::Differences),
+        DatagramKind::Differences => Some(DatagramKind::Rest),
+        DatagramKind::Rest => None,
     }
 }
--- a/crates/sassafrasproxy-core/src/forward/registry/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/mod.rs
@@ -5,15 +5,21 @@
 //! catalogue that all other decisions read.
 
 mod catalogue;
+mod datagram;
 mod discovery;
 mod facts;
+mod following;
 mod gossip;
+mod recent_news;
 mod store_sync;
 
 pub use self::catalogue::{Catalogue, CatalogueReplica};
+pub use self::datagram::{
+    DatagramError, DatagramKind, MAX_DATAGRAM_BYTES, MemberNews, Newest, PeerDatagram, Sender,
+    WholeMember,
+};
 pub use self::discovery::{Discovery, DiscoveryEvent, DiscoveryNote};
 pub use self::facts::{Fact, FactChanges, NodeRegistration, Subject};
-pub use self::gossip::{
-    Follow, Gossip, GossipPolicy, MemberNote, Newest, PeerDatagram, PeerSend, StartFrom,
-};
+pub use self::following::Follow;
+pub use self::gossip::{Gossip, GossipPolicy, MemberNote, PeerSend, StartFrom};
 pub use self::store_sync::{StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
--- a/crates/sassafrasproxy-core/src/forward/registry/store_sync.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/store_sync.rs
@@ -173,10 +173,10 @@
         self.phase = Phase::Watching { after_revision: revision };
     }
 
-    /// Notes that everything up to a revision was learned elsewhere.
+    /// Notes that everything up to a revision was learned elsewhere; 0 if nothing was.
     pub fn reach(&mut self, revision: u64) {
-        if let Phase::Watching { after_revision } = &mut self.phase {
-            *after_revision = revision.max(*after_revision);
+        if revision > self.known_revision() {
+            self.start_at(revision);
         }
     }
 
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -235,7 +235,7 @@
         incarnation: 1,
     };
     let mut peer = listed();
-    let fact = Fact::Node(NodeRegistration { member });
+    let fact = Fact::Node(NodeRegistration { member, node_count: 1 });
     peer.step(1, DiscoveryEvent::Seen { fact, revision: 7 });
     let mut discovery = Discovery::default();
     discovery.step(2, DiscoveryEvent::PeerFacts { facts: peer.facts(), revision: 7 });
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -2,81 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::collections::VecDeque;
-
-use ecow::eco_format;
 use indexmap::IndexSet;
-use sassafrasproxy_core::{Follow, Gossip, GossipPolicy, PeerSend, StartFrom};
-use sassafrasproxy_wire::{MemberState, MemberUpdate};
-
-const TICK_US: u64 = 500_000;
-
-/// Nodes that exchange datagrams in virtual time.
-struct Fleet {
-    nodes: Vec<Gossip>,
-    now_us: u64,
-    /// Nodes that neither send nor hear.
-    silent: IndexSet<usize>,
-}
-
-impl Fleet {
-    fn new(count: usize) -> Self {
-        Self::sized(count, |_| 1_000)
-    }
+use sassafrasproxy_core::{Follow, StartFrom};
+use sassafrasproxy_wire::MemberState;
 
-    /// Nodes that have so many thousandths of a core.
-    fn sized(count: usize, cpu_millis: impl Fn(usize) -> u32) -> Self {
-        let nodes = (0..count).map(|at| {
-            let me = MemberUpdate {
-                node: eco_format!("n{at}"),
-                peer_address: eco_format!("{at}"),
-                address: eco_format!("front-{at}"),
-                failure_domain: eco_format!("domain-{}", at % 4),
-                relay_address: Default::default(),
-                cpu_millis: cpu_millis(at),
-                state: MemberState::Alive,
-                incarnation: 1,
-            };
-            Gossip::new(&me, [eco_format!("0")], GossipPolicy::default(), at as u64, 0)
-        });
-        Self { nodes: nodes.collect(), now_us: 0, silent: IndexSet::new() }
-    }
+mod nodes;
 
-    fn run(&mut self, seconds: u64) {
-        for _ in 0..seconds * 2 {
-            self.now_us += TICK_US;
-            for at in 0..self.nodes.len() {
-                if !self.silent.contains(&at) {
-                    let sends = self.nodes[at].tick(self.now_us);
-                    self.deliver(sends);
-                }
-            }
-        }
-    }
-
-    fn deliver(&mut self, sends: Vec<PeerSend>) {
-        let mut queue: VecDeque<PeerSend> = sends.into();
-        while let Some(send) = queue.pop_front() {
-            let to: usize = send.peer_address.parse().unwrap();
-            if !self.silent.contains(&to) {
-                queue.extend(self.nodes[to].hear(self.now_us, &send.datagram));
-            }
-        }
-    }
-
-    /// The nodes that follow the store themselves.
-    fn watchers(&self) -> IndexSet<usize> {
-        let live = (0..self.nodes.len()).filter(|at| !self.silent.contains(at));
-        live.filter(|at| self.nodes[*at].follow() == Follow::Store).collect()
-    }
-
-    /// The states in which a node sees another.
-    fn state(&self, at: usize, other: usize) -> Option<MemberState> {
-        let address = eco_format!("front-{other}");
-        let nodes = self.nodes[at].directory_nodes();
-        nodes.iter().find(|node| node.address == address).map(|node| node.state)
-    }
-}
+use nodes::{Fleet, TICK_US, index_of, peer_address};
 
 #[test]
 fn all_meet() {
@@ -120,7 +52,7 @@
     let mut fleet = Fleet::new(8);
     fleet.run(4);
     let sends = fleet.nodes[5].leave(fleet.now_us);
-    fleet.deliver(sends);
+    fleet.deliver(5, sends);
     for at in 0..8 {
         assert_eq!(fleet.state(at, 5), Some(MemberState::Leaving), "seen by {at}");
     }
@@ -133,8 +65,8 @@
     fleet.nodes[0].set_progress(5, 40);
     fleet.nodes[1].set_progress(5, 44);
     fleet.run(4);
-    assert_eq!(fleet.nodes[2].best_informed().unwrap(), "1");
-    assert_eq!(fleet.nodes[0].best_informed().unwrap(), "1");
+    assert_eq!(fleet.nodes[2].best_informed().unwrap(), peer_address(1));
+    assert_eq!(fleet.nodes[0].best_informed().unwrap(), peer_address(1));
     assert_eq!(fleet.nodes[1].best_informed(), None);
 }
 
@@ -150,8 +82,8 @@
         assert_eq!(watchers.iter().filter(|at| **at % 4 == domain).count(), 1, "{watchers:?}");
     }
     for at in 0..60 {
-        if let Follow::Peer { peer_address } = fleet.nodes[at].follow() {
-            let watcher = peer_address.parse::<usize>().unwrap();
+        if let Follow::Peer { peer_address } = fleet.nodes[at].follow(fleet.now_us) {
+            let watcher = index_of(&peer_address);
             assert!(watchers.contains(&watcher));
             // Whatever changes would cross failure domains once for each node.
             assert_eq!(watcher % 4, at % 4, "in its own failure domain");
@@ -258,7 +190,7 @@
     for at in 8..64 {
         match fleet.nodes[at].start_from(fleet.now_us) {
             StartFrom::Peer { peer_address } => {
-                let peer = peer_address.parse::<usize>().unwrap();
+                let peer = index_of(&peer_address);
                 assert!(peer < 8 && peer % 4 == at % 4, "{at} starts from {peer}");
                 from_peers += 1;
             }
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -8,10 +8,10 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CrashReport, Discovery, DiscoveryEvent, DiscoveryNote, Gossip, GossipPolicy,
+    CrashReport, Discovery, DiscoveryEvent, DiscoveryNote, Gossip, GossipPolicy, MemberNote,
 };
 use sassafrasproxy_platform::StoreError;
-use sassafrasproxy_wire::MemberUpdate;
+use sassafrasproxy_wire::{MemberState, MemberUpdate};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -32,8 +32,8 @@
 /// How often the control state looks at the time.
 const TICK: Duration = Duration::from_millis(500);
 
-/// How many replicas that are listed at once get a log line each.
-const MAX_REPLICA_LINES: usize = 8;
+/// How many replicas or members that change at once in the same way get a log line each.
+const MAX_LINES: usize = 8;
 
 /// What the control thread starts with.
 pub struct ControlStart {
@@ -77,6 +77,8 @@
     store_revision: watch::Sender<u64>,
     /// Whether the last read of the store failed.
     is_store_away: Cell<bool>,
+    /// The hash of the members in the published view.
+    published_members: Cell<u64>,
 }
 
 /// Runs the control thread for as long as the process runs.
@@ -96,6 +98,7 @@
         heard_store_us: Cell::new(clock.now_us()),
         store_revision: watch::Sender::new(0),
         is_store_away: Cell::new(false),
+        published_members: Cell::new(0),
     });
     state.publish();
     LocalSet::new().block_on(&runtime, async move {
@@ -136,6 +139,11 @@
         self.is_store_away.get()
     }
 
+    /// Notes that a peer which this node follows is served by the store.
+    pub fn note_peer_served(&self) {
+        self.is_store_away.set(false);
+    }
+
     /// Notes how far this node follows the store.
     pub fn reach(&self, revision: u64) {
         self.store_revision.send_if_modified(|known| {
@@ -160,7 +168,8 @@
         for node in discovery.nodes() {
             gossip.add_seed(node.member.peer_address.clone());
         }
-        let registered = discovery.nodes().count();
+        let told = discovery.nodes().map(|node| node.node_count as usize);
+        let registered = told.max().unwrap_or(0).max(discovery.nodes().count());
         if let Some(catalogue) = catalogue {
             self.view.send_modify(|view| {
                 view.catalogue = Arc::new(catalogue);
@@ -172,9 +181,11 @@
     /// Publishes the members if they have changed.
     pub fn publish(&self) {
         let mut gossip = self.gossip.borrow_mut();
-        for note in gossip.take_notes() {
-            log::info!(member:% = note.node, state:? = note.state; "a member changed");
+        let members_hash = gossip.members_hash();
+        if self.published_members.replace(members_hash) == members_hash {
+            return;
         }
+        log_members(&gossip.take_notes(), gossip.node_count());
         let nodes = gossip.directory_nodes();
         self.view.send_if_modified(|view| {
             let is_changed = *view.nodes != nodes;
@@ -230,21 +241,53 @@
 
 /// Logs what discovery noted of one batch of changes.
 ///
-/// A node that starts, or follows an outage, learns of all replicas at once: they get one line
-/// together, as lines for each would be most of what a node writes.
+/// A node that starts, follows an outage or learns of another set of shards hears of hundreds of
+/// replicas at once: those that came and those that went get one line together.
 fn log_notes(notes: &[DiscoveryNote], store_revision: u64) {
-    let listed = notes.iter().filter(|note| matches!(note, DiscoveryNote::Replica { .. })).count();
-    let is_many = listed > MAX_REPLICA_LINES;
-    if is_many {
+    let is_listed = |note: &&DiscoveryNote| matches!(note, DiscoveryNote::Replica { .. });
+    let is_gone = |note: &&DiscoveryNote| matches!(note, DiscoveryNote::ReplicaGone { .. });
+    let listed = notes.iter().filter(is_listed).count();
+    let gone = notes.iter().filter(is_gone).count();
+    if listed > MAX_LINES {
         log::info!(count = listed, store_revision; "replicas are listed");
     }
+    if gone > MAX_LINES {
+        log::info!(count = gone, store_revision; "replicas are listed no more");
+    }
     for note in notes {
-        if !is_many || !matches!(note, DiscoveryNote::Replica { .. }) {
+        let count = match note {
+            DiscoveryNote::Replica { .. } => listed,
+            DiscoveryNote::ReplicaGone { .. } => gone,
+            DiscoveryNote::InForce { .. }
+            | DiscoveryNote::OlderIgnored { .. }
+            | DiscoveryNote::OldEntry { .. }
+            | DiscoveryNote::Domain { .. } => 0,
+        };
+        if count <= MAX_LINES {
             log_note(note, store_revision);
         }
     }
 }
 
+/// Logs members that changed together: each, or their number in each state if there are many.
+fn log_members(notes: &[MemberNote], members: usize) {
+    if notes.len() <= MAX_LINES {
+        for note in notes {
+            log::info!(member:% = note.node, state:? = note.state, members; "a member changed");
+        }
+        return;
+    }
+    let count = |state| notes.iter().filter(|note| note.state == state).count();
+    log::info!(
+        alive = count(MemberState::Alive),
+        suspect = count(MemberState::Suspect),
+        leaving = count(MemberState::Leaving),
+        dead = count(MemberState::Dead),
+        members;
+        "members changed"
+    );
+}
+
 fn log_note(note: &DiscoveryNote, store_revision: u64) {
     match note {
         DiscoveryNote::InForce { version } => {
--- a/crates/sassafrasproxy-gateway/src/follow.rs
+++ b/crates/sassafrasproxy-gateway/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::control::{CALL_LIMIT, ControlState};
 use crate::facts::{change_event, item_event};
 use crate::http_client::KeptClient;
-use crate::peer_facts::FollowedPeer;
+use crate::peer_facts::{Followed, FollowedPeer};
 
 /// How often a waiting watch is compared with what peers know.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
@@ -28,28 +28,44 @@
 /// How often a node that has just started looks whether it has heard of a peer to start from.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The least pause after a peer could not be followed.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
+
 /// Lists and watches the store for as long as the process runs.
 pub async fn follow_store(state: Rc<ControlState>, asked: watch::Receiver<bool>) {
     let mut client = KeptClient::new(state.settings().store);
     let mut peer = FollowedPeer::default();
     let mut sync = StoreSync::new(StoreSyncPolicy::default(), rand::random());
-    if start_from_peer(&state, &mut peer, asked).await {
+    // A node that starts from the store has met nobody yet, and need not wait until it has.
+    let mut may_follow = start_from_peer(&state, &mut peer, asked).await;
+    if may_follow {
         sync.start_at(state.store_revision());
     }
     loop {
         let now_us = state.clock.now_us();
-        let (call, outcome) = match sync.next(now_us) {
-            StoreStep::Pause { until_us } => {
-                sleep(Duration::from_micros(until_us.saturating_sub(now_us))).await;
-                continue;
+        let step = sync.next(now_us);
+        if let StoreStep::Pause { until_us } = step {
+            sleep(Duration::from_micros(until_us.saturating_sub(now_us))).await;
+            continue;
+        }
+        if std::mem::replace(&mut may_follow, true) {
+            match peer.follow(&state).await {
+                Followed::Learned => {
+                    sync.reach(state.store_revision());
+                    continue;
+                }
+                Followed::Failed => {
+                    sleep(FOLLOW_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
+                    continue;
+                }
+                Followed::Store => {}
             }
+        }
+        let (call, outcome) = match step {
+            StoreStep::Pause { .. } => continue,
             StoreStep::List { after_key } => {
                 ("list", list(&state, &mut client, after_key.as_deref()).await)
             }
-            StoreStep::Watch { .. } if peer.follow(&state).await => {
-                sync.reach(state.store_revision());
-                continue;
-            }
             StoreStep::Watch { after_revision, wait_ms } => {
                 let watch = wait_for_changes(&state, &mut client, after_revision, wait_ms);
                 let outcome = tokio::select! {
--- a/crates/sassafrasproxy-gateway/src/peer_facts.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_facts.rs
@@ -33,9 +33,6 @@
 /// As long as a watch of the store waits, and for the same reason.
 const FOLLOW_WAIT_MS: u64 = 4_000;
 
-/// How long the store is asked after a peer could not be followed, in microseconds: two watches.
-const FOLLOW_PAUSE_US: u64 = 8_000_000;
-
 /// How often a node that cannot reach the store looks for a peer that knows more.
 ///
 /// A configuration must be in force within three seconds; a peer's heartbeat says within about
@@ -110,8 +107,6 @@
 #[derive(Debug, Default)]
 pub struct FollowedPeer {
     client: Option<(EcoString, KeptClient)>,
-    /// After a failure, until when the store is asked instead, in microseconds.
-    store_until_us: u64,
 }
 
 impl FollowedPeer {
@@ -131,16 +126,12 @@
         false
     }
 
-    /// Waits for changes at the peer that this node is to follow; returns whether there is one.
+    /// Learns changes from the peer that this node is to follow, if it is not to read the store.
     ///
-    /// A peer that fails, that the store turns away or that knows less than others leaves this
-    /// node to the store for a while.
-    pub async fn follow(&mut self, state: &ControlState) -> bool {
-        let now_us = state.clock.now_us();
-        if now_us < self.store_until_us {
-            return false;
-        }
-        let Follow::Peer { peer_address } = state.gossip.borrow().follow() else { return false };
+    /// A peer that fails, or that knows less than others, is passed over for a while.
+    pub async fn follow(&mut self, state: &ControlState) -> Followed {
+        let follow = state.gossip.borrow().follow(state.clock.now_us());
+        let Follow::Peer { peer_address } = follow else { return Followed::Store };
         if self.client.as_ref().is_none_or(|(address, _)| *address != peer_address) {
             log::info!(peer:% = peer_address; "the node follows a peer");
         }
@@ -149,21 +140,38 @@
             pulled = pull(&mut self.client, &peer_address, revision, FOLLOW_WAIT_MS) => pulled,
             error = fall_behind(state) => Err(error.into()),
         };
-        let failure = match pulled {
-            Ok(facts) if !facts.is_store_away => {
+        let now_us = state.clock.now_us();
+        match pulled {
+            Ok(facts) => {
+                if facts.is_store_away {
+                    state.gossip.borrow_mut().note_peer_away(now_us, &peer_address);
+                } else {
+                    state.note_peer_served();
+                }
                 learn(state, facts);
-                return true;
+                Followed::Learned
             }
-            Ok(_) => eyre!("the store turns the peer away"),
-            Err(error) => error,
-        };
-        log::info!(peer:% = peer_address, error:% = failure; "the peer is not followed for now");
-        self.client = None;
-        self.store_until_us = now_us + FOLLOW_PAUSE_US;
-        false
+            Err(error) => {
+                log::info!(peer:% = peer_address, error:%; "the peer is not followed for now");
+                self.client = None;
+                state.gossip.borrow_mut().note_not_followed(now_us, &peer_address);
+                Followed::Failed
+            }
+        }
     }
 }
 
+/// How an attempt to follow a peer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followed {
+    /// The peer told what it knows.
+    Learned,
+    /// The peer did not help; another may.
+    Failed,
+    /// This node is to read the store itself.
+    Store,
+}
+
 /// Reads from a peer what it knows beyond a revision, waiting for news if there are none.
 async fn pull(
     client: &mut Option<(EcoString, KeptClient)>,
--- a/crates/sassafrasproxy-gateway/src/peers.rs
+++ b/crates/sassafrasproxy-gateway/src/peers.rs
@@ -4,16 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sassafrasproxy_core::{CrashReport, GossipPolicy, PeerDatagram, PeerSend};
+use ecow::eco_format;
+use sassafrasproxy_core::{CrashReport, GossipPolicy, MAX_DATAGRAM_BYTES, PeerDatagram, PeerSend};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::control::ControlState;
 
-/// The largest datagram that is read, in bytes; news are few and short.
-const MAX_DATAGRAM_BYTES: usize = 8_192;
-
 /// Reports of replicas that died under requests, from and to the traffic thread.
 pub struct Crashes {
     pub seen: mpsc::UnboundedReceiver<CrashReport>,
@@ -29,7 +27,8 @@
 ) {
     let mut ticks = interval(Duration::from_micros(GossipPolicy::default().tick_us));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    // One byte more shows a datagram that is too long: it cannot be read then.
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
         let now_us = state.clock.now_us();
         let sends = tokio::select! {
@@ -46,7 +45,9 @@
                     Vec::new()
                 }
             },
-            Some(report) = crashes.seen.recv() => state.gossip.borrow_mut().report_crash(report),
+            Some(report) = crashes.seen.recv() => {
+                state.gossip.borrow_mut().report_crash(now_us, report)
+            }
             Ok(()) = leaving.changed() => state.gossip.borrow_mut().leave(now_us),
         };
         for send in sends {
@@ -63,7 +64,7 @@
     from: SocketAddr,
     crashes: &mpsc::UnboundedSender<CrashReport>,
 ) -> Vec<PeerSend> {
-    let datagram: PeerDatagram = match serde_json::from_slice(bytes) {
+    let datagram = match PeerDatagram::decode(bytes) {
         Ok(datagram) => datagram,
         Err(error) => {
             log::warn!(from:%, error:%; "a datagram cannot be read");
@@ -74,13 +75,14 @@
         // Without a traffic thread the process is ending.
         let _ = crashes.send(*report);
     }
-    let reply = state.gossip.borrow_mut().hear(state.clock.now_us(), &datagram);
+    let now_us = state.clock.now_us();
+    let reply = state.gossip.borrow_mut().hear(now_us, &eco_format!("{from}"), &datagram);
     reply.into_iter().collect()
 }
 
 /// Sends a datagram; one that is lost is as good as one not sent.
 async fn deliver(socket: &UdpSocket, send: &PeerSend) {
-    let bytes = match serde_json::to_vec(&send.datagram) {
+    let bytes = match send.datagram.encode() {
         Ok(bytes) => bytes,
         Err(error) => return log::error!(error:%; "a heartbeat cannot be written"),
     };
--- a/crates/sassafrasproxy-gateway/src/register.rs
+++ b/crates/sassafrasproxy-gateway/src/register.rs
@@ -22,15 +22,26 @@
 /// The pause before a registration that failed is tried again.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
 
-/// Keeps this node registered, also after its entry was taken away.
+/// How often a node that need not be registered looks whether that has changed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Keeps this node registered if it is one of the few that are, also after its entry was taken away.
 pub async fn keep_registered(state: Rc<ControlState>, me: MemberUpdate) {
     let mut client = KeptClient::new(state.settings().store);
     let mut lease = None;
     loop {
+        if lease.is_none() && !state.gossip.borrow().is_registrar(state.clock.now_us()) {
+            sleep(LOOK_INTERVAL).await;
+            continue;
+        }
         let is_there = state.discovery.borrow().is_registered(&me.node);
         let (call, result) = match lease.filter(|_| is_there) {
             Some(lease) => ("renew", renew(&mut client, lease).await),
-            None => ("register", register(&mut client, &me).await.map(|id| lease = Some(id))),
+            None => {
+                let node_count = state.gossip.borrow().node_count() as u32;
+                let registered = register(&mut client, &me, node_count).await;
+                ("register", registered.map(|id| lease = Some(id)))
+            }
         };
         state.count_call(call, result.as_ref().err());
         let pause = match result {
@@ -51,11 +62,15 @@
 }
 
 /// Registers this node under a new lease.
-async fn register(client: &mut KeptClient, me: &MemberUpdate) -> Result<u64, StoreError> {
+async fn register(
+    client: &mut KeptClient,
+    me: &MemberUpdate,
+    node_count: u32,
+) -> Result<u64, StoreError> {
     let (status, body) = client.call(StoreCall::grant(REGISTRATION_TTL_MS), CALL_LIMIT).await?;
     let lease = decode_lease(status, &body)?.id;
     let member = MemberUpdate { state: MemberState::Alive, ..me.clone() };
-    let value = serde_json::to_vec(&NodeRegistration { member });
+    let value = serde_json::to_vec(&NodeRegistration { member, node_count });
     let value =
         value.map_err(|error| StoreError::Garbled { detail: ecow::eco_format!("{error}") })?;
     let put = StoreCall::put(&own_key(&me.node), &value, lease);
--- a/crates/sassafrasproxy-gateway/src/view.rs
+++ b/crates/sassafrasproxy-gateway/src/view.rs
@@ -11,6 +11,6 @@
     pub catalogue: Arc<Catalogue>,
     /// All nodes that are not dead.
     pub nodes: Arc<Vec<DirectoryNode>>,
-    /// How many nodes are registered in the store.
+    /// How many nodes there are by the registrations in the store.
     pub registered: usize,
 }
--- a/crates/sassafrasproxy-wire/src/peer.rs
+++ b/crates/sassafrasproxy-wire/src/peer.rs
@@ -157,10 +157,10 @@
     /// Where it is.
     pub failure_domain: EcoString,
     /// The address where it relays requests to replicas near it; empty where it does not.
-    #[serde(default, skip_serializing_if = "EcoString::is_empty")]
+    #[serde(default)]
     pub relay_address: EcoString,
     /// How much of a core it has, in thousandths; 0 where it does not say.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub cpu_millis: u32,
     /// The member's state at this incarnation.
     pub state: MemberState,
@@ -204,11 +204,6 @@
     pub hlc: Hlc,
 }
 
-/// Whether a number can be left out.
-fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
-
 /// Whether a flag can be left out.
 fn is_false(flag: &bool) -> bool {
     !flag
