--- a/crates/sassafrasproxy-core/src/forward/callers/directory.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/directory.rs
@@ -29,9 +29,8 @@
 
 /// The addresses to tell a caller, each node once.
 ///
-/// Callers are sent to the larger VMs: a query over 90 shards takes some 6 ms of a core, which is
-/// 50 ms on an eighth of one and 12 ms on a half. On a calm day of 62 VMs, 8 of them large, 143
-/// of 238 short queries met their goal of 50 ms; spread over all VMs, 18 did.
+/// Callers are sent to the larger VMs: the processor time of a query over many shards is longer than
+/// its goal on a small one.
 ///
 /// A merged query takes one request over the caller's path and one for each shard over the
 /// node's. So callers go to nodes in the failure domains that hold replicas, their own first:
--- a/crates/sassafrasproxy-core/src/forward/placement/ask_plan.rs
+++ b/crates/sassafrasproxy-core/src/forward/placement/ask_plan.rs
@@ -28,10 +28,6 @@
 /// no query needs a slow replica for its least coverage, all are asked: then a part that comes in
 /// time is won, and one that is late costs nobody anything. Where queries do need one, their parts
 /// are shared out, as a replica that gets all of them answers none in time.
-///
-/// Gains, in played loads with three of twenty shards left to a replica that is 3 and 5 times
-/// slower: long queries' worth 0.12 and 0.00 to 0.65 and 0.22, short ones' 0.72 and 0.71 to 0.79
-/// and 0.73; at 8 times no difference.
 pub fn plan_asks(prospects: &[Option<Prospect>], min_parts: usize) -> AskPlan {
     let askable = prospects.iter().flatten().count();
     let mut slow: Vec<(usize, SlowProspect)> = prospects
--- a/crates/sassafrasproxy-core/src/forward/placement/connect_ahead.rs
+++ b/crates/sassafrasproxy-core/src/forward/placement/connect_ahead.rs
@@ -16,8 +16,7 @@
 ///
 /// Guards against a storm after all nodes were lost at once: members and replicas are then learned
 /// in hundreds of steps, and replicas that still hold the dead nodes' connections reset new ones
-/// over their cap. Trying at each step for what was not there yet made 119,567 connections in a
-/// day of 64 VMs, which kept replicas at their caps for some seconds longer.
+/// over their cap. Trying at each step for what was not there yet would keep them at their caps.
 #[derive(Debug, Clone, Default)]
 pub struct ConnectAhead {
     replicas: IndexMap<EcoString, Ahead>,
--- a/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
@@ -535,7 +535,8 @@
         let mut targets = IndexSet::new();
         for (node, probe) in &mut self.probes {
             let Some(member) = self.members.member(node) else { continue };
-            if probe.misses > 0 && probe.sent_us.is_none() && member.state == MemberState::Alive {
+            let is_probed = matches!(member.state, MemberState::Alive | MemberState::Leaving);
+            if probe.misses > 0 && probe.sent_us.is_none() && is_probed {
                 probe.sent_us = Some(now_us);
                 targets.insert(member.peer_address.clone());
             }
--- a/crates/sassafrasproxy-core/src/forward/registry/store_sync.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/store_sync.rs
@@ -10,8 +10,6 @@
     ///
     /// Bounds how long a store that took the call and never answers it stays unnoticed: its
     /// connection still answers keep-alive probes, and if all watches hang no peer knows more.
-    /// With 10 s, 64 nodes went on with an old configuration for ten seconds after one was
-    /// acknowledged; it saved some 20 of 120 calls on a calm day.
     pub watch_wait_ms: u64,
     /// How long after a change the next watch starts, so that changes share a call.
     ///
--- a/crates/sassafrasproxy-core/src/forward/sending/retry_budget.rs
+++ b/crates/sassafrasproxy-core/src/forward/sending/retry_budget.rs
@@ -27,9 +27,9 @@
 /// In how many alike shares the fixed budget is counted for a node, if callers are sent to `senders`
 /// of `nodes` nodes and it is one of these (`is_sender`) or not.
 ///
-/// The senders get all but an eighth of it. Guards against a budget that nobody spends: of 74 nodes
-/// of which eight serve nearly all queries, these had a ninth of the fixed part together, and
-/// queries ended without the retry that the rest would have paid for.
+/// The senders get all but an eighth of it. Guards against a budget that nobody spends: where few
+/// of many nodes serve nearly all queries, equal shares leave these without the retries that the
+/// rest could pay for.
 pub fn budget_shares(nodes: usize, senders: usize, is_sender: bool) -> usize {
     let others = nodes.saturating_sub(senders);
     match (others, is_sender) {
--- a/crates/sassafrasproxy-gateway/src/connections.rs
+++ b/crates/sassafrasproxy-gateway/src/connections.rs
@@ -112,8 +112,7 @@
     /// Whether there is no process any more that takes connections.
     ///
     /// A replica that is over its cap resets new ones, but lives. Taken for dead, it would make
-    /// requests that broke off there look as if they had crashed it: 225 of them in the seconds
-    /// after a loss of all nodes. Of a crashed one, 212 of 212 new connections were refused.
+    /// requests that broke off there look as if they had crashed it.
     pub fn is_death(&self) -> bool {
         match self {
             Self::Silent(_) => true,
--- a/crates/sassafrasproxy-gateway/src/front.rs
+++ b/crates/sassafrasproxy-gateway/src/front.rs
@@ -19,8 +19,7 @@
 
 /// When a caller may come back to a node that knows no configuration yet, in milliseconds.
 ///
-/// A node that started in a played day had its configuration 15 ms later; on a slow VM, or with
-/// the store just back, it takes longer.
+/// One read of the store takes far less, on a slow VM or with the store just back about as long.
 const NO_CONFIGURATION_RETRY_MS: u64 = 200;
 
 /// When a request that crashes replicas may come back, in milliseconds: when the reports on it
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -255,8 +255,8 @@
 
     /// Whether callers of this node's failure domain are sent here.
     ///
-    /// A node that is not named serves few requests and makes connections when it needs them:
-    /// of 62 VMs of which 8 are named, the others would hold most of the connections.
+    /// A node that is not named serves few requests and makes connections when it needs them: in a
+    /// fleet where few are named, the others would hold most of the connections.
     fn is_named(&self) -> bool {
         let domain = self.settings().failure_domain.clone();
         let nodes = &self.view.borrow().nodes;
