Name callers a node of another failure domain

Hypothesis: where all addresses of an answer are in one failure domain and that is lost, its callers hang on each of them for as long as they keep the answer, and one address elsewhere serves them sooner than the next answer does.

Change: an answer whose nodes are of one failure domain names one more, of another domain that holds replicas, a different one for each domain's callers.

Two checks in directories.rs asked for the own domain alone; they ask for the one more now, and another_domain for exactly one.

--- a/crates/sassafrasproxy-core/src/forward/callers/directory.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/directory.rs
@@ -1,9 +1,11 @@
 //! Which nodes callers are told to use.
 
-use ecow::EcoString;
+use ecow::{EcoString, eco_format};
 use indexmap::IndexMap;
 use sassafrasproxy_wire::MemberState;
 
+use crate::hash_name;
+
 /// The most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
@@ -62,12 +64,39 @@
         choose(&holds),
         choose(&|_| true),
     ];
+    let choices_elsewhere = choices[1..].to_vec();
     let chosen = choices.into_iter().find(|choice| choice.len() >= MIN_NODES);
     let chosen = chosen.unwrap_or_else(|| {
         let usable = [MemberState::Alive, MemberState::Suspect];
         nodes.iter().filter(|node| usable.contains(&node.state)).collect()
     });
-    chosen.into_iter().take(MAX_ADDRESSES).map(|node| node.address.clone()).collect()
+    let elsewhere = elsewhere(&chosen, &choices_elsewhere, caller_domain);
+    let chosen = chosen.into_iter().take(MAX_ADDRESSES - 1).chain(elsewhere);
+    chosen.map(|node| node.address.clone()).collect()
+}
+
+/// A node of another failure domain, if all that are named are of one.
+///
+/// Callers keep an answer for seconds. If the domain is lost meanwhile, all that they know hang, and
+/// they are served again only once they have asked again.
+fn elsewhere<'a>(
+    chosen: &[&'a DirectoryNode],
+    choices: &[Vec<&'a DirectoryNode>],
+    caller_domain: Option<&str>,
+) -> Option<&'a DirectoryNode> {
+    let domain = &chosen.first()?.failure_domain;
+    if chosen.iter().any(|node| node.failure_domain != *domain) {
+        return None;
+    }
+    let others = choices.iter().map(|choice| {
+        choice.iter().copied().filter(|node| node.failure_domain != *domain).collect::<Vec<_>>()
+    });
+    let others = others.into_iter().find(|others| !others.is_empty())?;
+    // Each failure domain's callers have another node, so that none serves all in need.
+    let score = |node: &&DirectoryNode| {
+        hash_name(&eco_format!("{} {}", caller_domain.unwrap_or_default(), node.address))
+    };
+    others.into_iter().max_by_key(score)
 }
 
 /// How many nodes callers are sent to while nothing is wrong: the larger ones.
