Share a query's parts out among nodes that are small for them

Hypothesis: a node that sends all parts of a query one after the other makes the last ones late where there are many parts or little processor time.

--- a/crates/sassafrasproxy-cli/tests/gateway/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -6,8 +6,11 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use http::Request;
+use http_body_util::Full;
 use sassafrasproxy_platform_standin::{
     CallerAnswer, DeclaredRoute, DeclaredTarget, GatewayProcess, ReplicaStandIn, StoreStandIn, ask,
+    ask_with,
 };
 
 /// How long a test waits for a state before it counts as never reached.
@@ -92,6 +95,15 @@
         self.store.publish(self.version, routes);
     }
 
+    /// How many sends a gateway made for others.
+    pub async fn relayed(&self, at: usize) -> u64 {
+        let request = Request::get("/metrics").header("host", "h").body(Full::default()).unwrap();
+        let answer = ask_with(self.gateways[at].metrics(), request).await.unwrap();
+        let text = String::from_utf8(answer.body.to_vec()).unwrap();
+        let line = text.lines().find(|line| line.contains("sends_total{kind=\"relayed\"}"));
+        line.map_or(0, |line| line.split(' ').next_back().unwrap().parse().unwrap())
+    }
+
     /// The replica with an id.
     pub fn replica(&self, id: &str) -> &ReplicaStandIn {
         self.replicas.iter().find(|replica| replica.id() == id).unwrap()
--- a/crates/sassafrasproxy-cli/tests/gateway_relays.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_relays.rs
@@ -6,10 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use http::Request;
-use http_body_util::Full;
 use nix::sys::signal::Signal;
-use sassafrasproxy_platform_standin::{Behavior, CallerAnswer, ask, ask_with};
+use sassafrasproxy_platform_standin::{Behavior, CallerAnswer, ask};
 
 use crate::gateway::{HOST, PATIENCE, SHARDS, System, fresh_id, record};
 
@@ -39,11 +37,7 @@
 
 /// How many sends the second gateway made for others.
 async fn relayed(system: &System) -> u64 {
-    let request = Request::get("/metrics").header("host", "h").body(Full::default()).unwrap();
-    let answer = ask_with(system.gateways[1].metrics(), request).await.unwrap();
-    let text = String::from_utf8(answer.body.to_vec()).unwrap();
-    let line = text.lines().find(|line| line.contains("sends_total{kind=\"relayed\"}"));
-    line.map_or(0, |line| line.split(' ').next_back().unwrap().parse().unwrap())
+    system.relayed(1).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sassafrasproxy-core/src/forward/placement/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/placement/mod.rs
@@ -12,6 +12,7 @@
 mod routes;
 mod slow_share;
 mod split;
+mod spread;
 
 pub use self::ask_plan::{AskPlan, plan_asks};
 pub use self::connect_ahead::{AheadStep, ConnectAhead};
@@ -19,3 +20,4 @@
 pub use self::routes::RouteTable;
 pub use self::slow_share::SlowProspect;
 pub use self::split::SplitChooser;
+pub use self::spread::spread_parts;
--- a/crates/sassafrasproxy-core/src/forward/placement/pool.rs
+++ b/crates/sassafrasproxy-core/src/forward/placement/pool.rs
@@ -186,9 +186,9 @@
     /// How many idle connections this node may keep to a replica; a node to which callers are sent
     /// (`is_sender`) as many as it may use, the others an equal share of what `nodes` nodes may.
     ///
-    /// Guards against replicas that are full of connections nobody uses: 64 nodes that kept one
-    /// each were over a cap of 54, and the replica reset new ones. Of the few requests that such
-    /// nodes get for it, 250 in a day were lost; what may run once is not sent again then.
+    /// Guards against replicas that are full of connections nobody uses: a fleet that keeps one
+    /// each may be over the cap, and the replica resets new ones. What may run once only is lost
+    /// then, as it is not sent again.
     pub fn idle_limit(&self, id: &str, nodes: usize, is_sender: bool) -> usize {
         let Some(state) = self.replicas.get(id) else { return 0 };
         if is_sender { state.max_in_flight } else { state.max_connections / nodes.max(1) }
@@ -206,6 +206,11 @@
         self.services.contains_key(service)
     }
 
+    /// How many replicas a service has.
+    pub fn replica_count(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, Vec::len)
+    }
+
     /// How many replicas of the services each failure domain holds.
     pub fn domain_counts<'a>(
         &self,
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -10,6 +10,7 @@
 use sassafrasproxy_core::{
     Fetch, FetchEnd, FetchPlan, FetchStep, GatherPlan, GatherStep, Prospect, SendCause, SendId,
     US_PER_MS, come_back_ms, merge_records, next_gather_step, plan_asks, possible_in_us,
+    spread_parts,
 };
 use sassafrasproxy_platform::PartSummary;
 use sassafrasproxy_wire::{GatherTarget, ReplicaEntry, Route};
@@ -62,8 +63,8 @@
     units: Vec<Unit>,
     sends: Sends,
     ends: mpsc::UnboundedSender<GatherEnd>,
-    /// First sends to other failure domains, held back until all shards have been looked at.
-    far: Vec<FarSend>,
+    /// First sends, held back until all shards have been looked at.
+    held: Vec<HeldSend>,
     top_k: usize,
 }
 
@@ -81,9 +82,9 @@
     },
 }
 
-/// A first send to a replica in another failure domain.
+/// A send to a replica that this node or another one makes.
 #[derive(Debug)]
-struct FarSend {
+struct HeldSend {
     shard: usize,
     replica: Arc<ReplicaEntry>,
     send: SendId,
@@ -116,13 +117,13 @@
             Ok(Some(GatherEnd::Sent(shard, end))) => {
                 gathering.take_sent(shard, end);
                 wake_us = wake_us.min(gathering.advance(shard));
-                gathering.send_far();
+                gathering.send_held();
             }
             Ok(Some(GatherEnd::Relayed { parts, records })) => {
                 let shards = gathering.take_relayed(parts, records);
                 let wakes = shards.into_iter().map(|shard| gathering.advance(shard));
                 wake_us = wakes.min().unwrap_or(u64::MAX).min(wake_us);
-                gathering.send_far();
+                gathering.send_held();
             }
             Ok(None) | Err(_) => wake_us = gathering.advance_all(),
         }
@@ -215,7 +216,7 @@
             units: Vec::new(),
             sends: Sends::default(),
             ends,
-            far: Vec::new(),
+            held: Vec::new(),
             top_k: target.top_k,
         }
     }
@@ -238,7 +239,7 @@
     /// Takes the next step of every shard; returns when one wants another look.
     fn advance_all(&mut self) -> u64 {
         let wake_us = (0..self.shards.len()).map(|shard| self.advance(shard)).min();
-        self.send_far();
+        self.send_held();
         wake_us.unwrap_or(u64::MAX)
     }
 
@@ -271,28 +272,28 @@
         }
     }
 
-    /// Sends to a replica, or holds a first send to another failure domain back.
+    /// Sends to a replica, or holds a first send back.
     fn send(&mut self, shard: usize, replica: &EcoString, send: SendId, cause: SendCause) {
         let entry = self.traffic.pool.borrow().entry(replica).cloned();
         let Some(replica) = entry else { return };
-        let is_far = replica.failure_domain != self.traffic.settings().failure_domain;
-        if is_far && cause == SendCause::First {
-            return self.far.push(FarSend { shard, replica, send });
+        let held = HeldSend { shard, replica, send };
+        match cause {
+            SendCause::First => self.held.push(held),
+            SendCause::Hedge | SendCause::Retry => self.send_direct(held),
         }
-        self.send_direct(FarSend { shard, replica, send });
     }
 
-    fn send_direct(&mut self, far: FarSend) {
+    fn send_direct(&mut self, held: HeldSend) {
         let spec = SendSpec {
             request: self.request.clone(),
             route: self.route.name.clone(),
-            replica: far.replica,
-            send: far.send,
+            replica: held.replica,
+            send: held.send,
             end_us: self.plan.end_us,
             is_one_of_many: true,
             is_idempotent: true,
         };
-        let (ends, shard) = (self.ends.clone(), far.shard);
+        let (ends, shard) = (self.ends.clone(), held.shard);
         let tell = move |end| {
             // The query may have been answered without this send.
             let _ = ends.send(GatherEnd::Sent(shard, end));
@@ -300,29 +301,59 @@
         self.sends.push(start_send(self.traffic, spec, tell));
     }
 
-    /// Sends what was held back: by a relay where a failure domain has several, else directly.
-    fn send_far(&mut self) {
-        let mut by_domain: IndexMap<EcoString, Vec<FarSend>> = IndexMap::new();
-        for far in std::mem::take(&mut self.far) {
-            by_domain.entry(far.replica.failure_domain.clone()).or_default().push(far);
+    /// Sends what was held back, each failure domain's by nodes there as far as that helps.
+    fn send_held(&mut self) {
+        let mut by_domain: IndexMap<EcoString, Vec<HeldSend>> = IndexMap::new();
+        for held in std::mem::take(&mut self.held) {
+            by_domain.entry(held.replica.failure_domain.clone()).or_default().push(held);
         }
         for (domain, sends) in by_domain {
-            let now_us = self.traffic.clock.now_us();
-            let expected_us = self.fetch_plan.expected_us;
-            let relay = self.traffic.relays.pick(&domain, now_us, expected_us);
-            match relay.filter(|_| sends.len() >= MIN_RELAYED) {
-                Some(relay) => self.send_by_relay(relay, sends),
-                None => sends.into_iter().for_each(|far| self.send_direct(far)),
-            }
+            let is_own = domain == self.traffic.settings().failure_domain;
+            if is_own { self.send_near(&domain, sends) } else { self.send_far(&domain, sends) }
+        }
+    }
+
+    /// Sends to replicas of this node's failure domain, by other nodes there what is too much for it.
+    fn send_near(&mut self, domain: &EcoString, mut sends: Vec<HeldSend>) {
+        let nodes = 1 + self.traffic.relays.count(domain);
+        let cpu_millis = self.traffic.relays.cpu_millis(domain);
+        let shares = spread_parts(sends.len(), nodes, cpu_millis);
+        let (own, others) = shares.split_at(1);
+        let rest = sends.split_off(own[0]);
+        // Other nodes first: they work while this one sends.
+        self.send_by_relays(domain, rest, others);
+        sends.into_iter().for_each(|held| self.send_direct(held));
+    }
+
+    /// Sends to replicas of another failure domain, by relays there.
+    fn send_far(&mut self, domain: &EcoString, sends: Vec<HeldSend>) {
+        if sends.len() < MIN_RELAYED {
+            return sends.into_iter().for_each(|held| self.send_direct(held));
+        }
+        let relays = &self.traffic.relays;
+        let shares = spread_parts(sends.len(), relays.count(domain), relays.cpu_millis(domain));
+        self.send_by_relays(domain, sends, &shares);
+    }
+
+    /// Sends by one relay for each share; what no relay can be asked for goes directly.
+    fn send_by_relays(&mut self, domain: &EcoString, sends: Vec<HeldSend>, shares: &[usize]) {
+        let now_us = self.traffic.clock.now_us();
+        let expected_us = self.fetch_plan.expected_us;
+        let relays = self.traffic.relays.pick(domain, now_us, expected_us, shares.len());
+        let mut sends = sends.into_iter();
+        for (relay, share) in relays.into_iter().zip(shares) {
+            let part = sends.by_ref().take(*share).collect();
+            self.send_by_relay(relay, part);
         }
+        sends.for_each(|held| self.send_direct(held));
     }
 
-    fn send_by_relay(&mut self, relay: EcoString, sends: Vec<FarSend>) {
+    fn send_by_relay(&mut self, relay: EcoString, sends: Vec<HeldSend>) {
         let spec = RelaySpec {
             request: self.request.clone(),
             route: self.route.name.clone(),
             relay,
-            sends: sends.into_iter().map(|far| (far.shard, far.replica, far.send)).collect(),
+            sends: sends.into_iter().map(|held| (held.shard, held.replica, held.send)).collect(),
             top_k: self.top_k,
             end_us: self.plan.end_us,
             expected_us: self.fetch_plan.expected_us,
--- a/crates/sassafrasproxy-gateway/src/relays.rs
+++ b/crates/sassafrasproxy-gateway/src/relays.rs
@@ -32,6 +32,8 @@
     /// Each relay as a replica of the failure domain that it is in.
     pool: RefCell<UpstreamPool>,
     addresses: RefCell<IndexMap<EcoString, SocketAddr>>,
+    /// By failure domain, how much of a core its largest node has, in thousandths.
+    largest: RefCell<IndexMap<EcoString, u32>>,
     links: RefCell<IndexMap<EcoString, Link>>,
     next_id: Cell<u64>,
 }
@@ -84,6 +86,7 @@
         Self {
             pool: RefCell::new(UpstreamPool::new(pool)),
             addresses: RefCell::default(),
+            largest: RefCell::default(),
             links: RefCell::default(),
             next_id: Cell::new(1),
         }
@@ -94,13 +97,16 @@
         let alive = |node: &&DirectoryNode| {
             node.state == MemberState::Alive && !node.relay_address.is_empty()
         };
+        let mut largest: IndexMap<EcoString, u32> = IndexMap::new();
+        for node in nodes {
+            let known = largest.entry(node.failure_domain.clone()).or_default();
+            *known = node.cpu_millis.max(*known);
+        }
         let mut catalogue = Catalogue::default();
         let mut addresses = IndexMap::new();
         for node in nodes.iter().filter(alive).filter(|node| node.address != me) {
-            let domain = nodes.iter().filter(|one| one.failure_domain == node.failure_domain);
-            let largest = domain.map(|one| one.cpu_millis).max().unwrap_or(0);
             let Ok(address) = node.relay_address.parse() else { continue };
-            if 2 * node.cpu_millis < largest {
+            if 2 * node.cpu_millis < largest[&node.failure_domain] {
                 continue;
             }
             let entry = ReplicaEntry {
@@ -122,6 +128,7 @@
         self.pool.borrow_mut().update_unlimited(now_us, &catalogue, MAX_ASKS as usize);
         self.links.borrow_mut().retain(|relay, _| addresses.contains_key(relay));
         self.addresses.replace(addresses);
+        self.largest.replace(largest);
     }
 
     /// Whether a failure domain has a relay.
@@ -129,9 +136,31 @@
         self.pool.borrow().has_replicas(domain)
     }
 
-    /// The relay of a failure domain that will probably answer first, if any can be asked.
-    pub fn pick(&self, domain: &str, now_us: u64, expected_us: u64) -> Option<EcoString> {
-        self.pool.borrow_mut().pick(domain, now_us, expected_us, &[])
+    /// How many relays a failure domain has.
+    pub fn count(&self, domain: &str) -> usize {
+        self.pool.borrow().replica_count(domain)
+    }
+
+    /// How much of a core the largest node of a failure domain has, in thousandths.
+    pub fn cpu_millis(&self, domain: &str) -> u32 {
+        self.largest.borrow().get(domain).copied().unwrap_or(0)
+    }
+
+    /// The relays of a failure domain that will probably answer first, as far as any can be asked.
+    pub fn pick(
+        &self,
+        domain: &str,
+        now_us: u64,
+        expected_us: u64,
+        count: usize,
+    ) -> Vec<EcoString> {
+        let pool = self.pool.borrow();
+        let mut picked = Vec::with_capacity(count);
+        while picked.len() < count {
+            let Some(relay) = pool.pick(domain, now_us, expected_us, &picked) else { break };
+            picked.push(relay);
+        }
+        picked
     }
 
     /// Notes an ask of a relay.
