--- a/crates/sassafrasproxy-core/src/forward/registry/following.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/following.rs
@@ -32,6 +32,20 @@
     },
 }
 
+/// Where a node that has just started learns what stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StartFrom {
+    /// From the store.
+    Store,
+    /// From a larger node of its failure domain.
+    Peer {
+        /// The peer's address.
+        peer_address: EcoString,
+    },
+    /// It is not known yet.
+    LookAround,
+}
+
 /// The order in which nodes watch the store.
 ///
 /// All nodes that agree on the members agree on the order, so a fleet of any size has the same few
@@ -129,3 +143,34 @@
         }
     }
 }
+
+/// Where a node finds one that is larger than itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LargerNode {
+    /// In its own failure domain.
+    Near {
+        /// The larger node's address.
+        peer_address: EcoString,
+    },
+    /// In other failure domains only.
+    Elsewhere,
+    /// None is known.
+    Nowhere,
+}
+
+/// The larger node that this one starts from, so that only the larger ones list the store.
+pub fn larger_node(members: &MemberTable) -> LargerNode {
+    let me = members.me();
+    let is_larger = |member: &&Member| {
+        member.state == MemberState::Alive && member.cpu_millis >= 2 * me.cpu_millis
+    };
+    let larger: Vec<&Member> = members.present().filter(is_larger).collect();
+    let near: Vec<&Member> =
+        larger.iter().copied().filter(|one| one.domain_hash == me.domain_hash).collect();
+    if near.is_empty() {
+        return if larger.is_empty() { LargerNode::Nowhere } else { LargerNode::Elsewhere };
+    }
+    // The small nodes of a failure domain share its large ones out.
+    let choice = near[(me.name_hash % near.len() as u64) as usize];
+    LargerNode::Near { peer_address: choice.peer_address.clone() }
+}
--- a/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
@@ -11,8 +11,10 @@
 use rand::{RngExt, SeedableRng};
 use sassafrasproxy_wire::{MemberState, MemberUpdate};
 
+use super::crash_news::CrashNews;
 use super::datagram::{DatagramKind, MemberNews, Newest, PeerDatagram, Sender};
-use super::following::{Follow, Following};
+use super::following::{Follow, Following, LargerNode, StartFrom, larger_node};
+use super::probes::Probes;
 use super::recent_news::RecentNews;
 use crate::control::MemberChange;
 use crate::{CrashReport, Digests, DirectoryNode, Member, MemberTable};
@@ -97,15 +99,6 @@
 /// How far apart a node tells such changes, in microseconds, so that many share a datagram.
 const URGENT_PAUSE_US: u64 = 100_000;
 
-/// How many of a node's datagrams carry a report of a crash.
-const CRASH_SENDS: u32 = 24;
-
-/// How long a report of a crash is remembered, in microseconds, so that it is passed on once.
-const CRASH_MEMORY_US: u64 = 30_000_000;
-
-/// How many reports a datagram carries at the most.
-const MAX_CRASHES: usize = 16;
-
 /// How many peers hear at once of what cannot wait; they pass it on.
 const NOTICE_PEERS: usize = 24;
 
@@ -121,20 +114,6 @@
 /// The most digests in a datagram: a quarter of its room.
 const MAX_DIGESTS: usize = 64;
 
-/// Where a node that has just started learns what stands in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StartFrom {
-    /// From the store.
-    Store,
-    /// From a larger node of its failure domain.
-    Peer {
-        /// The peer's address.
-        peer_address: EcoString,
-    },
-    /// It is not known yet.
-    LookAround,
-}
-
 /// What gossip asks its shell to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerSend {
@@ -161,8 +140,7 @@
     members: MemberTable,
     /// Peer addresses to try that are no member's.
     seeds: IndexSet<EcoString>,
-    /// Probes without an answer yet, by member.
-    probes: IndexMap<EcoString, Probe>,
+    probes: Probes,
     recent: RecentNews,
     following: Following,
     started_us: u64,
@@ -180,20 +158,7 @@
     /// Never below `store_revision`.
     newest: Newest,
     notes: Vec<MemberNote>,
-    crashes: IndexMap<CrashReport, CrashNews>,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Probe {
-    /// When the last probe was sent; `None` once it counted as missed.
-    sent_us: Option<u64>,
-    misses: u32,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct CrashNews {
-    until_us: u64,
-    sends_left: u32,
+    crashes: CrashNews,
 }
 
 impl Gossip {
@@ -210,7 +175,7 @@
             rng: StdRng::seed_from_u64(seed),
             members: MemberTable::new(me, now_us),
             seeds: seeds.into_iter().collect(),
-            probes: IndexMap::new(),
+            probes: Probes::default(),
             recent: RecentNews::default(),
             following: Following::default(),
             started_us: now_us,
@@ -223,7 +188,7 @@
             is_store_away: false,
             newest: Newest::default(),
             notes: Vec::new(),
-            crashes: IndexMap::new(),
+            crashes: CrashNews::default(),
         };
         gossip.seeds.swap_remove(&me.peer_address);
         gossip.note_changed(now_us, true);
@@ -264,10 +229,10 @@
 
     /// Takes the passing of a tick in, and returns what to send.
     pub fn tick(&mut self, now_us: u64) -> Vec<PeerSend> {
-        self.count_misses(now_us);
+        self.suspect_silent(now_us);
         let changes = self.members.expire(now_us, self.policy.suspect_us, self.policy.forget_us);
         self.note(now_us, changes);
-        let again = self.probe_again(now_us);
+        let again = self.probes.send_again(now_us, &self.members);
         let mut targets = IndexSet::new();
         let is_hurried = self.is_young(now_us) && self.differs;
         if is_hurried {
@@ -279,11 +244,10 @@
         for _ in 0..probes {
             let Some(member) = self.members.next_probe(&mut self.rng) else { break };
             targets.insert(member.peer_address.clone());
-            let node = member.node.clone();
-            self.probes.entry(node).or_default().sent_us.get_or_insert(now_us);
+            self.probes.send(now_us, member.node.clone());
         }
         for member in self.doubted() {
-            self.probes.entry(member.node).or_default().sent_us.get_or_insert(now_us);
+            self.probes.send(now_us, member.node);
             targets.insert(member.peer_address);
         }
         let copies = std::iter::repeat_n(again, PROBE_COPIES).flatten();
@@ -314,7 +278,7 @@
             self.take_news(now_us, news);
         }
         self.hear_sender(now_us, datagram);
-        self.hear_crashes(now_us, &datagram.crashes);
+        self.crashes.hear(now_us, &datagram.crashes);
         let mut sends = self.tell_urgent(now_us);
         sends.extend(self.reply(now_us, peer_address, datagram));
         sends
@@ -366,7 +330,7 @@
 
     /// Tells some peers at once that a replica died under a request; they pass it on.
     pub fn report_crash(&mut self, now_us: u64, report: CrashReport) -> Vec<PeerSend> {
-        self.hear_crashes(now_us, &[report]);
+        self.crashes.hear(now_us, &[report]);
         self.notify(now_us, now_us, NOTICE_PEERS)
     }
 
@@ -444,33 +408,18 @@
     }
 
     /// Where a node that has just started learns what stands in the store.
-    ///
-    /// Where callers are sent to larger nodes, only these list the store; the others ask one in
-    /// their failure domain.
     pub fn start_from(&self, now_us: u64) -> StartFrom {
         let me = self.members.me();
         if me.cpu_millis >= self.policy.small_cpu_millis {
             return StartFrom::Store;
         }
-        let is_larger = |member: &&Member| {
-            member.state == MemberState::Alive && member.cpu_millis >= 2 * me.cpu_millis
-        };
-        let larger: Vec<&Member> = self.members.present().filter(is_larger).collect();
-        let near: Vec<&Member> =
-            larger.iter().copied().filter(|one| one.domain_hash == me.domain_hash).collect();
-        if !near.is_empty() {
-            // The small nodes of a failure domain share its large ones out.
-            let choice = near[(me.name_hash % near.len() as u64) as usize];
-            return StartFrom::Peer { peer_address: choice.peer_address.clone() };
-        }
-        let limit_us = match larger.is_empty() {
-            true => self.policy.alone_us,
-            false => self.policy.look_around_us,
-        };
-        if now_us.saturating_sub(self.started_us) < limit_us {
-            return StartFrom::LookAround;
+        let age_us = now_us.saturating_sub(self.started_us);
+        match larger_node(&self.members) {
+            LargerNode::Near { peer_address } => StartFrom::Peer { peer_address },
+            LargerNode::Elsewhere if age_us < self.policy.look_around_us => StartFrom::LookAround,
+            LargerNode::Nowhere if age_us < self.policy.alone_us => StartFrom::LookAround,
+            LargerNode::Elsewhere | LargerNode::Nowhere => StartFrom::Store,
         }
-        StartFrom::Store
     }
 
     /// Lets another peer be heard of that knows more.
@@ -501,7 +450,7 @@
         if datagram.newest.revision > self.newest.revision {
             self.hear_of(&datagram.newest);
         }
-        self.probes.shift_remove(&from.node);
+        self.probes.hear(&from.node);
     }
 
     fn take_news(&mut self, now_us: u64, news: &MemberNews) {
@@ -528,32 +477,6 @@
         self.note_changed(now_us, is_whole);
     }
 
-    fn hear_crashes(&mut self, now_us: u64, reports: &[CrashReport]) {
-        self.crashes.retain(|_, news| now_us < news.until_us);
-        for report in reports {
-            let until_us = now_us + CRASH_MEMORY_US;
-            let news = CrashNews { until_us, sends_left: CRASH_SENDS };
-            self.crashes.entry(*report).or_insert(news);
-        }
-    }
-
-    /// Probes members that missed their last probe once more, and returns where they are.
-    ///
-    /// The next probe of the same member comes a whole round later, and a lost failure domain
-    /// would be named to callers all the while.
-    fn probe_again(&mut self, now_us: u64) -> IndexSet<EcoString> {
-        let mut targets = IndexSet::new();
-        for (node, probe) in &mut self.probes {
-            let Some(member) = self.members.member(node) else { continue };
-            let is_probed = matches!(member.state, MemberState::Alive | MemberState::Leaving);
-            if probe.misses > 0 && probe.sent_us.is_none() && is_probed {
-                probe.sent_us = Some(now_us);
-                targets.insert(member.peer_address.clone());
-            }
-        }
-        targets
-    }
-
     /// Some peers of this node's failure domain, by chance.
     ///
     /// A node that starts learns most of the members from these, so that few bytes cross.
@@ -580,20 +503,9 @@
     }
 
     /// Suspects members that did not answer some probes in a row.
-    fn count_misses(&mut self, now_us: u64) {
-        let mut silent = Vec::new();
-        for (node, probe) in &mut self.probes {
-            let is_late = |sent_us: u64| now_us >= sent_us + self.policy.answer_us;
-            if probe.sent_us.is_some_and(is_late) {
-                probe.sent_us = None;
-                probe.misses += 1;
-            }
-            if probe.misses >= self.policy.misses {
-                silent.push(node.clone());
-            }
-        }
-        for node in silent {
-            self.probes.shift_remove(&node);
+    fn suspect_silent(&mut self, now_us: u64) {
+        let (answer_us, misses) = (self.policy.answer_us, self.policy.misses);
+        for node in self.probes.take_silent(now_us, answer_us, misses) {
             let change = self.members.suspect(now_us, &node);
             self.note(now_us, change);
         }
@@ -681,14 +593,6 @@
     fn datagram(&mut self, now_us: u64, kind: DatagramKind) -> PeerDatagram {
         let me = self.members.me();
         let from = Sender { node: me.node.clone(), incarnation: me.incarnation, state: me.state };
-        let waiting = self
-            .crashes
-            .iter_mut()
-            .filter(|(_, news)| news.sends_left > 0 && now_us < news.until_us);
-        let crashes = waiting.map(|(report, news)| {
-            news.sends_left -= 1;
-            *report
-        });
         PeerDatagram {
             kind,
             from,
@@ -696,7 +600,7 @@
             members_hash: self.members.hash(),
             newest: self.newest.clone(),
             is_store_away: self.is_store_away,
-            crashes: crashes.take(MAX_CRASHES).collect(),
+            crashes: self.crashes.take(now_us),
             digests: None,
             news: Vec::new(),
         }
--- a/crates/sassafrasproxy-core/src/forward/registry/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/mod.rs
@@ -5,11 +5,13 @@
 //! catalogue that all other decisions read.
 
 mod catalogue;
+mod crash_news;
 mod datagram;
 mod discovery;
 mod facts;
 mod following;
 mod gossip;
+mod probes;
 mod recent_news;
 mod store_sync;
 
@@ -20,6 +22,6 @@
 };
 pub use self::discovery::{Discovery, DiscoveryEvent, DiscoveryNote};
 pub use self::facts::{Fact, FactChanges, NodeRegistration, Subject};
-pub use self::following::Follow;
-pub use self::gossip::{Gossip, GossipPolicy, MemberNote, PeerSend, StartFrom};
+pub use self::following::{Follow, StartFrom};
+pub use self::gossip::{Gossip, GossipPolicy, MemberNote, PeerSend};
 pub use self::store_sync::{StoreOutcome, StoreStep, StoreSync, StoreSyncPolicy};
