Ask no earlier life of this node for what it does not know

Cause: peers tell which node follows the store furthest; after a restart that may be the restarted node itself, which then asked itself for a second once a peer had failed it.

A registration that claims more than 10,000 nodes is damaged and not believed: the count is kept for good, and the budget for extra sends is shared out by it.

--- a/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
@@ -357,8 +357,12 @@
     }
 
     /// A peer that follows the store further than this node, if any was heard of.
+    ///
+    /// Never this node: peers may still tell of its life before a restart.
     pub fn best_informed(&self) -> Option<EcoString> {
-        (self.newest.revision > self.store_revision).then(|| self.newest.peer_address.clone())
+        let is_other = self.newest.peer_address != self.members.me().peer_address;
+        let is_further = self.newest.revision > self.store_revision;
+        (is_other && is_further).then(|| self.newest.peer_address.clone())
     }
 
     /// Whether a peer address is that of a member that is not suspected and does not leave.
@@ -447,7 +451,8 @@
             self.merge(now_us, &update);
             self.following.note_away(now_us, &from.node, datagram.is_store_away);
         }
-        if datagram.newest.revision > self.newest.revision {
+        let is_own = datagram.newest.peer_address == self.members.me().peer_address;
+        if !is_own && datagram.newest.revision > self.newest.revision {
             self.hear_of(&datagram.newest);
         }
         self.probes.hear(&from.node);
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -149,6 +149,21 @@
     assert_eq!(after.iter().filter(|at| !before[..4].contains(at)).count(), 4, "{after:?}");
 }
 
+/// Guards against a node that was restarted and asks itself, as its peers say that it knows most.
+#[test]
+fn asks_no_earlier_life() {
+    let mut fleet = Fleet::new(3);
+    fleet.nodes[1].set_progress(5, 100);
+    fleet.run(3);
+    fleet.restart(1, 2);
+    fleet.nodes[0].set_progress(5, 60);
+    fleet.run(3);
+    assert_ne!(fleet.nodes[1].best_informed(), Some(peer_address(1)));
+    fleet.nodes[2].set_progress(6, 120);
+    fleet.run(3);
+    assert_eq!(fleet.nodes[1].best_informed(), Some(peer_address(2)));
+}
+
 /// Guards against a node that asks one peer after the other that knows no more than itself, while
 /// a change that it needs is known elsewhere.
 #[test]
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -36,6 +36,9 @@
 /// How many replicas or members that change at once in the same way get a log line each.
 const MAX_LINES: usize = 8;
 
+/// How many nodes a registration may tell of; one that claims more is damaged.
+const MAX_NODES: usize = 10_000;
+
 /// What the control thread starts with.
 pub struct ControlStart {
     /// The process's clock.
@@ -170,7 +173,8 @@
             gossip.add_seed(node.member.peer_address.clone());
         }
         let told = discovery.nodes().map(|node| node.node_count as usize);
-        let registered = told.max().unwrap_or(0).max(discovery.nodes().count());
+        let told = told.filter(|count| *count <= MAX_NODES).max().unwrap_or(0);
+        let registered = told.max(discovery.nodes().count());
         if let Some(catalogue) = catalogue {
             self.view.send_modify(|view| {
                 view.catalogue = Arc::new(catalogue);
