--- a/crates/sassafrasproxy-cli/tests/gateway_relays.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_relays.rs
@@ -70,7 +70,13 @@
     system.gateways[1].signal(Signal::SIGKILL).unwrap();
     system.ask_until(0, "/all/7", is_whole).await;
     for _ in 0..5 {
-        assert!(is_whole(&system.ask(0, "/all/7").await));
+        let answer = system.ask(0, "/all/7").await;
+        let lines = system.gateways[0].lines();
+        assert!(
+            is_whole(&answer),
+            "{answer:?}; log {:#?}",
+            &lines[lines.len().saturating_sub(25)..]
+        );
     }
 }
 
