Drop what a datagram says for nobody, and copies in the directory

Cause: heartbeats carried the version of the sender's configuration, which no node has read since the revision of the store tells who knows more; each answer of the directory copied all its choices to find a node of another failure domain.

Change: both go; the choices are looked at in place. No change of behaviour: the tests of gossip, fleet_cost, fleet_faults, views_agree and directories pass with their assertions as they were; set_progress lost the argument that nobody read.

--- a/crates/sassafrasproxy-core/src/forward/callers/directory.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/directory.rs
@@ -64,13 +64,12 @@
         choose(&holds),
         choose(&|_| true),
     ];
-    let choices_elsewhere = choices[1..].to_vec();
-    let chosen = choices.into_iter().find(|choice| choice.len() >= MIN_NODES);
+    let chosen = choices.iter().find(|choice| choice.len() >= MIN_NODES).cloned();
     let chosen = chosen.unwrap_or_else(|| {
         let usable = [MemberState::Alive, MemberState::Suspect];
         nodes.iter().filter(|node| usable.contains(&node.state)).collect()
     });
-    let elsewhere = elsewhere(&chosen, &choices_elsewhere, caller_domain);
+    let elsewhere = elsewhere(&chosen, &choices[1..], caller_domain);
     let chosen = chosen.into_iter().take(MAX_ADDRESSES - 1).chain(elsewhere);
     chosen.map(|node| node.address.clone()).collect()
 }
@@ -88,15 +87,14 @@
     if chosen.iter().any(|node| node.failure_domain != *domain) {
         return None;
     }
-    let others = choices.iter().map(|choice| {
-        choice.iter().copied().filter(|node| node.failure_domain != *domain).collect::<Vec<_>>()
-    });
-    let others = others.into_iter().find(|others| !others.is_empty())?;
     // Each failure domain's callers have another node, so that none serves all in need.
     let score = |node: &&DirectoryNode| {
         hash_name(&eco_format!("{} {}", caller_domain.unwrap_or_default(), node.address))
     };
-    others.into_iter().max_by_key(score)
+    choices.iter().find_map(|choice| {
+        let others = choice.iter().copied().filter(|node| node.failure_domain != *domain);
+        others.max_by_key(score)
+    })
 }
 
 /// How many nodes callers are sent to while nothing is wrong: the larger ones.
--- a/crates/sassafrasproxy-core/src/forward/registry/datagram.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/datagram.rs
@@ -20,8 +20,6 @@
     pub kind: DatagramKind,
     /// Who sends it.
     pub from: Sender,
-    /// The version of the sender's configuration.
-    pub version: u64,
     /// A hash over the sender's members that are not dead, to notice a difference.
     pub members_hash: u64,
     /// The newest revision of the store that the sender has heard of.
--- a/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/gossip.rs
@@ -151,7 +151,6 @@
     is_urgent: bool,
     /// When peers were last told so.
     urgent_us: u64,
-    version: u64,
     /// How far this node follows the store.
     store_revision: u64,
     is_store_away: bool,
@@ -183,7 +182,6 @@
             differs: true,
             is_urgent: false,
             urgent_us: 0,
-            version: 0,
             store_revision: 0,
             is_store_away: false,
             newest: Newest::default(),
@@ -195,9 +193,8 @@
         gossip
     }
 
-    /// Sets what this node says of its configuration and of how far it follows the store.
-    pub fn set_progress(&mut self, version: u64, store_revision: u64) {
-        self.version = version;
+    /// Sets how far this node follows the store.
+    pub fn set_progress(&mut self, store_revision: u64) {
         self.store_revision = self.store_revision.max(store_revision);
         let peer_address = self.members.me().peer_address.clone();
         self.hear_of(&Newest { revision: self.store_revision, peer_address });
@@ -601,7 +598,6 @@
         PeerDatagram {
             kind,
             from,
-            version: self.version,
             members_hash: self.members.hash(),
             newest: self.newest.clone(),
             is_store_away: self.is_store_away,
--- a/crates/sassafrasproxy-core/tests/gossip.rs
+++ b/crates/sassafrasproxy-core/tests/gossip.rs
@@ -62,8 +62,8 @@
 #[test]
 fn best_informed() {
     let mut fleet = Fleet::new(3);
-    fleet.nodes[0].set_progress(5, 40);
-    fleet.nodes[1].set_progress(5, 44);
+    fleet.nodes[0].set_progress(40);
+    fleet.nodes[1].set_progress(44);
     fleet.run(4);
     assert_eq!(fleet.nodes[2].best_informed().unwrap(), peer_address(1));
     assert_eq!(fleet.nodes[0].best_informed().unwrap(), peer_address(1));
@@ -112,7 +112,7 @@
         fleet.run(20);
         fleet.silent.insert(still);
         for watcher in fleet.watchers() {
-            fleet.nodes[watcher].set_progress(5, 100);
+            fleet.nodes[watcher].set_progress(100);
         }
         fleet.run(1);
         let followers = (0..8).filter(|at| *at != still && !fleet.watchers().contains(at));
@@ -153,13 +153,13 @@
 #[test]
 fn asks_no_earlier_life() {
     let mut fleet = Fleet::new(3);
-    fleet.nodes[1].set_progress(5, 100);
+    fleet.nodes[1].set_progress(100);
     fleet.run(3);
     fleet.restart(1, 2);
-    fleet.nodes[0].set_progress(5, 60);
+    fleet.nodes[0].set_progress(60);
     fleet.run(3);
     assert_ne!(fleet.nodes[1].best_informed(), Some(peer_address(1)));
-    fleet.nodes[2].set_progress(6, 120);
+    fleet.nodes[2].set_progress(120);
     fleet.run(3);
     assert_eq!(fleet.nodes[1].best_informed(), Some(peer_address(2)));
 }
@@ -174,7 +174,7 @@
     // Nodes of another failure domain know of the change, those of its own do not.
     let informed: Vec<usize> = (0..60).filter(|at| at % 4 == (follower + 1) % 4).collect();
     for at in &informed {
-        fleet.nodes[*at].set_progress(5, 100);
+        fleet.nodes[*at].set_progress(100);
     }
     fleet.run(2);
     let Follow::Peer { peer_address } = fleet.nodes[follower].follow(fleet.now_us) else {
@@ -194,7 +194,7 @@
 fn news_of_news() {
     let mut fleet = Fleet::new(60);
     fleet.run(40);
-    fleet.nodes[7].set_progress(5, 100);
+    fleet.nodes[7].set_progress(100);
     fleet.run(2);
     let informed = fleet.nodes.iter().filter(|node| node.best_informed().is_some()).count();
     assert_eq!(informed, 59);
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -155,8 +155,7 @@
             *known = revision.max(*known);
             is_more
         });
-        let version = self.discovery.borrow().version();
-        self.gossip.borrow_mut().set_progress(version, self.store_revision());
+        self.gossip.borrow_mut().set_progress(self.store_revision());
     }
 
     /// Takes events of discovery in and publishes what they change.
