Complete a promoted version only with the reports of most canaries

Cause: the promotion waits for fresh reports of all canaries, the completion waited for time only. A successor has no reports until the canaries address it.

no_completion_without_reports failed before: the record was written at the first step.

--- a/crates/sassafrasproxy-core/src/forward/rollout/coordinator.rs
+++ b/crates/sassafrasproxy-core/src/forward/rollout/coordinator.rs
@@ -211,6 +211,15 @@
     StopAndRollBack,
 }
 
+/// How many of a rollout's canaries that are alive report to this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reporting {
+    All,
+    /// More than half of them.
+    Most,
+    Few,
+}
+
 impl RolloutCoordinator {
     /// Adds a canary's report.
     pub fn add_report(&mut self, now_us: u64, node: &EcoString, report: &TrialReport) {
@@ -359,15 +368,18 @@
             return NextStep::StopAndRollBack;
         }
         match record.phase {
-            RolloutPhase::Promoted if now_us >= self.record_seen_us + policy.settle_us => {
+            RolloutPhase::Promoted
+                if now_us >= self.record_seen_us + policy.settle_us
+                    && self.reporting_canaries(now_us, record, nodes) != Reporting::Few =>
+            {
                 NextStep::Write(RolloutPhase::Completed)
             }
             RolloutPhase::Trial => {
                 let elapsed_us = self.elapsed_us(now_us, state);
                 let is_last_moment = elapsed_us >= policy.max_trial_us(order);
                 let is_over = elapsed_us >= policy.trial_us(order);
-                let may_promote =
-                    state.has_enough_slots(record) && self.has_fresh_reports(now_us, record, nodes);
+                let may_promote = state.has_enough_slots(record)
+                    && self.reporting_canaries(now_us, record, nodes) == Reporting::All;
                 match verdict {
                     TrialVerdict::Good if is_over && may_promote => {
                         NextStep::Write(RolloutPhase::Promoted)
@@ -388,16 +400,28 @@
         }
     }
 
-    /// Returns whether each canary that is alive has reported within `MAX_REPORT_AGE_US`.
+    /// Returns how many of the canaries that are alive have reported within `MAX_REPORT_AGE_US`.
     ///
-    /// Prevents the promotion of a version while the reports of its failures do not arrive.
-    fn has_fresh_reports(&self, now_us: u64, record: &RolloutRecord, nodes: &RolloutNodes) -> bool {
-        let mut alive = record.canaries.iter().filter(|canary| nodes.alive_nodes.contains(*canary));
-        alive.all(|canary| {
+    /// Prevents the promotion or completion of a version while the reports of its failures do not
+    /// arrive, as at a node that has just become the coordinator.
+    fn reporting_canaries(
+        &self,
+        now_us: u64,
+        record: &RolloutRecord,
+        nodes: &RolloutNodes,
+    ) -> Reporting {
+        let is_alive = |canary: &&EcoString| nodes.alive_nodes.contains(*canary);
+        let alive: Vec<&EcoString> = record.canaries.iter().filter(is_alive).collect();
+        let has_reported = |canary: &&&EcoString| {
             self.last_report_us
-                .get(canary)
+                .get(**canary)
                 .is_some_and(|reported_us| now_us < reported_us + MAX_REPORT_AGE_US)
-        })
+        };
+        match alive.iter().filter(has_reported).count() {
+            reporting if reporting == alive.len() => Reporting::All,
+            reporting if 2 * reporting > alive.len() => Reporting::Most,
+            _ => Reporting::Few,
+        }
     }
 }
 
--- a/crates/sassafrasproxy-core/tests/rollouts.rs
+++ b/crates/sassafrasproxy-core/tests/rollouts.rs
@@ -5,9 +5,12 @@
 mod nodes;
 mod rollout_model;
 
+use ecow::EcoString;
+use indexmap::IndexMap;
 use sassafrasproxy_core::{
-    ReportThrottle, RolloutPhase, RolloutPolicy, RolloutRecord, Trial, TrialAnalysis, TrialCount,
-    TrialGrant, TrialOutcome, TrialReport, TrialVerdict, route_class, service_versions,
+    ReportThrottle, RolloutCoordinator, RolloutEffect, RolloutNodes, RolloutOrder, RolloutPhase,
+    RolloutPolicy, RolloutRecord, RolloutState, Trial, TrialAnalysis, TrialCount, TrialGrant,
+    TrialOutcome, TrialReport, TrialVerdict, VersionReplicas, route_class, service_versions,
 };
 use sassafrasproxy_wire::ReplicaEntry;
 
@@ -340,3 +343,37 @@
         cold_for_ms: 0,
     }
 }
+
+/// Guards against completing a promoted version at a coordinator that has just replaced another
+/// one and has no reports yet.
+#[test]
+fn no_completion_without_reports() {
+    let canaries: Vec<EcoString> = vec!["vm-1".into(), "vm-2".into()];
+    let record = RolloutRecord { canaries: canaries.clone(), ..record(RolloutPhase::Promoted) };
+    let order =
+        RolloutOrder { service: "desk".into(), target_version: "v2".into(), period_ms: 10_000 };
+    let state = RolloutState {
+        service: "desk".into(),
+        order: Some((order, 9)),
+        record: Some((record, 12)),
+        in_use: Some("v2".into()),
+        versions: IndexMap::from([("v2".into(), VersionReplicas { count: 2, slots: 8 })]),
+        is_known: true,
+        is_stopped: false,
+    };
+    let nodes = RolloutNodes {
+        ingress_nodes: canaries.clone(),
+        alive_nodes: canaries.iter().cloned().collect(),
+        rank: Some(0),
+    };
+    let mut coordinator = RolloutCoordinator::default();
+    for now_us in [0, 2_000_000, 4_000_000] {
+        assert_eq!(coordinator.step(now_us, std::slice::from_ref(&state), &nodes, &policy()), []);
+    }
+    for canary in &canaries {
+        coordinator.add_report(4_000_000, canary, &report(&[count(true, 1, 20, 0)]));
+    }
+    let effects = coordinator.step(4_250_000, &[state], &nodes, &policy());
+    let [RolloutEffect::Write { record, .. }] = &effects[..] else { panic!("{effects:?}") };
+    assert_eq!(record.phase, RolloutPhase::Completed);
+}
