Leave a failing replica of the old version out of a trial's baseline

Cause: all replicas of the version in use were counted together.

Canaries now count the version in use by classes of replicas (and no longer by routes, so that a report stays as large as before), and the replica with the most failures is left out of the baseline if it fails more than four times as often as the others. Failures that all replicas have still count, as both_versions_fail shows.

bad_old_replica_hides_nothing failed before: the verdict was Good for 6 of 30 beside 40 of 300, all on one old replica.

--- a/crates/sassafrasproxy-core/src/forward/rollout/trial.rs
+++ b/crates/sassafrasproxy-core/src/forward/rollout/trial.rs
@@ -20,9 +20,10 @@
 
 /// The number of counts from which replicas are grouped into fewer classes, so that a report fits
 /// in a datagram.
-const MAX_FINE_COUNTS: usize = 48;
+const MAX_FINE_COUNTS: usize = 40;
 
-/// The number of classes of replicas once there are `MAX_FINE_COUNTS` counts.
+/// The number of classes of replicas once there are `MAX_FINE_COUNTS` counts, and for the version
+/// in use.
 const COARSE_REPLICA_CLASSES: u64 = 8;
 
 /// The number of classes in which the routes to a service are counted.
@@ -72,9 +73,9 @@
 pub struct TrialCount {
     /// Whether the version is the one on trial.
     pub is_on_trial: bool,
-    /// The class of the replicas; 0 for all replicas of the version in use.
+    /// The class of the replicas.
     pub replica_class: u8,
-    /// The class of the routes.
+    /// The class of the routes; 0 for all routes of the version in use.
     pub route_class: RouteClass,
     /// The number of attempts that ended with an answer or a failure.
     pub ended: u32,
@@ -153,10 +154,10 @@
             TrialOutcome::Unknown => return,
         };
         let is_on_trial = replica.version == self.grant.version;
-        let is_coarse = self.counts.len() >= MAX_FINE_COUNTS;
+        let is_coarse = !is_on_trial || self.counts.len() >= MAX_FINE_COUNTS;
         let classes = if is_coarse { COARSE_REPLICA_CLASSES } else { REPLICA_CLASSES };
-        let class = (xxh3_64(replica.id.as_bytes()) % classes) as u8;
-        let replica_class = if is_on_trial { class } else { 0 };
+        let replica_class = (xxh3_64(replica.id.as_bytes()) % classes) as u8;
+        let route_class = if is_on_trial { route_class } else { 0 };
         let count = self.counts.entry((is_on_trial, replica_class, route_class)).or_default();
         *count = TrialCount {
             is_on_trial,
--- a/crates/sassafrasproxy-core/src/forward/rollout/trial_analysis.rs
+++ b/crates/sassafrasproxy-core/src/forward/rollout/trial_analysis.rs
@@ -34,6 +34,18 @@
 /// baseline is stable while few attempts on the version in use have ended.
 const PRIOR_ATTEMPTS: f64 = 20.0;
 
+/// The minimum number of failures of a replica of the version in use that is left out of the
+/// baseline.
+const MIN_OUTLIER_FAILURES: f64 = 3.0;
+
+/// The minimum number of attempts on the other replicas of the version in use without which none is
+/// left out of the baseline.
+const MIN_OTHERS_ENDED: f64 = 10.0;
+
+/// The ratio of its failure rate to that of the other replicas above which a replica of the version
+/// in use is left out of the baseline.
+const MIN_OUTLIER_RATIO: f64 = 4.0;
+
 /// The highest rate that the test assumes, so that its logarithms stay finite.
 const MAX_RATE: f64 = 0.98;
 
@@ -60,7 +72,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct TrialAnalysis {
     reports: IndexMap<String, TrialReport>,
-    baseline: BaselineCounts,
+    /// The attempts on the version in use, by class of replicas.
+    baseline: IndexMap<u8, BaselineCounts>,
     all_routes: Evidence,
     by_route_class: IndexMap<RouteClass, Evidence>,
     ended: u64,
@@ -103,9 +116,7 @@
         let increases = report.counts.iter().map(|count| count_increase(count, &before));
         let (on_trial, in_use): (Vec<_>, Vec<_>) = increases.partition(|count| count.is_on_trial);
         for count in in_use {
-            self.baseline.ended += f64::from(count.ended);
-            self.baseline.failed += f64::from(count.failed);
-            self.baseline.slow += f64::from(count.slow);
+            self.baseline.entry(count.replica_class).or_default().add(&count);
         }
         for count in on_trial {
             self.add(&count);
@@ -145,8 +156,9 @@
 
     fn add(&mut self, count: &TrialCount) {
         self.ended += u64::from(count.ended);
-        let failure_rate = self.baseline.rate(self.baseline.failed, MIN_FAILURE_RATE);
-        let slow_rate = self.baseline.rate(self.baseline.slow, MIN_SLOW_RATE);
+        let baseline = self.total_baseline();
+        let failure_rate = baseline.rate(baseline.failed, MIN_FAILURE_RATE);
+        let slow_rate = baseline.rate(baseline.slow, MIN_SLOW_RATE);
         let failed = log_likelihood_ratio(
             count.ended,
             count.failed,
@@ -166,6 +178,24 @@
             evidence.by_replica_class.entry(count.replica_class).or_default().add(failed, slow);
         }
     }
+
+    /// Returns the attempts on the version in use, without those on a replica that fails for its
+    /// own reasons.
+    ///
+    /// Otherwise, a replica of the old version that fails a part of its requests would make a bad
+    /// version look no worse than the old one.
+    fn total_baseline(&self) -> BaselineCounts {
+        let total = self.baseline.values().fold(BaselineCounts::default(), BaselineCounts::plus);
+        let by_failures =
+            |one: &&BaselineCounts, other: &&BaselineCounts| one.failed.total_cmp(&other.failed);
+        let Some(worst) = self.baseline.values().max_by(by_failures) else { return total };
+        let others = total.minus(worst);
+        let is_outlier = worst.failed >= MIN_OUTLIER_FAILURES
+            && others.ended >= MIN_OTHERS_ENDED
+            && worst.failed / worst.ended
+                > MIN_OUTLIER_RATIO * others.rate(others.failed, MIN_FAILURE_RATE);
+        if is_outlier { others } else { total }
+    }
 }
 
 impl Evidence {
@@ -196,6 +226,28 @@
 }
 
 impl BaselineCounts {
+    fn add(&mut self, count: &TrialCount) {
+        self.ended += f64::from(count.ended);
+        self.failed += f64::from(count.failed);
+        self.slow += f64::from(count.slow);
+    }
+
+    fn plus(self, other: &Self) -> Self {
+        Self {
+            ended: self.ended + other.ended,
+            failed: self.failed + other.failed,
+            slow: self.slow + other.slow,
+        }
+    }
+
+    fn minus(self, other: &Self) -> Self {
+        Self {
+            ended: self.ended - other.ended,
+            failed: self.failed - other.failed,
+            slow: self.slow - other.slow,
+        }
+    }
+
     /// Returns the rate of `count` among the ended attempts, smoothed with `min_rate` as its prior.
     fn rate(&self, count: f64, min_rate: f64) -> f64 {
         let rate = (count + min_rate * PRIOR_ATTEMPTS) / (self.ended + PRIOR_ATTEMPTS);
--- a/crates/sassafrasproxy-core/tests/rollouts.rs
+++ b/crates/sassafrasproxy-core/tests/rollouts.rs
@@ -377,3 +377,13 @@
     let [RolloutEffect::Write { record, .. }] = &effects[..] else { panic!("{effects:?}") };
     assert_eq!(record.phase, RolloutPhase::Completed);
 }
+
+/// Guards against a replica of the old version that fails some requests and so makes a bad version
+/// look no worse than the old one.
+#[test]
+fn bad_old_replica_hides_nothing() {
+    let mut analysis = TrialAnalysis::default();
+    analysis.add_report("vm-1", &report(&[count(false, 1, 100, 40), count(false, 2, 200, 0)]));
+    analysis.add_report("vm-2", &report(&[count(true, 1, 15, 3), count(true, 2, 15, 3)]));
+    assert_eq!(analysis.verdict(2), TrialVerdict::Bad);
+}
