Try the routes of a version evenly and together, and judge it by what was seen

Now a canary keeps its last permit for the route tried least; permits come in four rounds within the trial, each with a replica of its own, so that requests meet there; the baseline begins at 0.02 and falls to 0.007 as the old version answers; and a version is neither promoted nor completed while one replica is bad and fewer than eight attempts on the others have ended since. Evidence of others has to be 0.4 of all for failures and 0.5 for slow answers, as a pause of a replica delays a whole round.

--- a/crates/sassafrasproxy-core/examples/rollouts.rs
+++ b/crates/sassafrasproxy-core/examples/rollouts.rs
@@ -39,7 +39,7 @@
         .arg(Arg::new("seeds").long("seeds").default_value("100").value_parser(value_parser!(u64)))
         .arg(Arg::new("first").long("first").default_value("1").value_parser(value_parser!(u64)))
         .arg(number("trial-part", "0.6"))
-        .arg(number("spread-part", "1.3"))
+        .arg(number("spread-part", "0.75"))
         .arg(number("permit-part", "0.9"))
         .arg(number("share-part", "0.3"))
         .arg(Arg::new("verbose").long("verbose").num_args(0))
--- a/crates/sassafrasproxy-core/src/forward/rollout/coordinator.rs
+++ b/crates/sassafrasproxy-core/src/forward/rollout/coordinator.rs
@@ -48,8 +48,8 @@
     /// The promotion is as late as the period allows, because a version may turn bad only after
     /// some time.
     pub trial_fraction: f64,
-    /// The time over which permits are spread, as a multiple of the usual length of a trial, so
-    /// that a trial that lasts longer still has permits.
+    /// The time until the last permits are released, as a fraction of the usual length of a trial,
+    /// so that they are used before the trial ends.
     pub permit_spread_factor: f64,
     /// The time from the promotion of a version to its completion, in microseconds.
     ///
@@ -67,7 +67,7 @@
             permit_fraction: 0.9,
             canary_share_fraction: 0.3,
             trial_fraction: 0.6,
-            permit_spread_factor: 1.3,
+            permit_spread_factor: 0.75,
             settle_us: 1_200_000,
         }
     }
@@ -368,12 +368,6 @@
             return NextStep::StopAndRollBack;
         }
         match record.phase {
-            RolloutPhase::Promoted
-                if now_us >= self.record_seen_us + policy.settle_us
-                    && self.reporting_canaries(now_us, record, nodes) != Reporting::Few =>
-            {
-                NextStep::Write(RolloutPhase::Completed)
-            }
             RolloutPhase::Trial => {
                 let elapsed_us = self.elapsed_us(now_us, state);
                 let is_last_moment = elapsed_us >= policy.max_trial_us(order);
@@ -384,19 +378,41 @@
                     TrialVerdict::Good if is_over && may_promote => {
                         NextStep::Write(RolloutPhase::Promoted)
                     }
-                    TrialVerdict::Suspicious if is_last_moment && may_promote => {
+                    TrialVerdict::Suspicious | TrialVerdict::Unresolved
+                        if is_last_moment && may_promote =>
+                    {
                         NextStep::Write(RolloutPhase::Promoted)
                     }
                     TrialVerdict::Inconclusive if is_last_moment => NextStep::StopAndRollBack,
                     TrialVerdict::Good
                     | TrialVerdict::Suspicious
+                    | TrialVerdict::Unresolved
                     | TrialVerdict::Inconclusive
                     | TrialVerdict::Bad => NextStep::Nothing,
                 }
             }
-            RolloutPhase::Promoted | RolloutPhase::Completed | RolloutPhase::RolledBack => {
-                NextStep::Nothing
+            RolloutPhase::Promoted => {
+                let is_settled = now_us >= self.record_seen_us + policy.settle_us;
+                let may_complete =
+                    is_settled && self.reporting_canaries(now_us, record, nodes) != Reporting::Few;
+                let period_us = order.period_ms * US_PER_MS;
+                let is_last_moment = self.elapsed_us(now_us, state) + WRITE_SLACK_US >= period_us;
+                match verdict {
+                    TrialVerdict::Good | TrialVerdict::Suspicious if may_complete => {
+                        NextStep::Write(RolloutPhase::Completed)
+                    }
+                    TrialVerdict::Unresolved if is_last_moment && may_complete => {
+                        NextStep::Write(RolloutPhase::Completed)
+                    }
+                    TrialVerdict::Inconclusive if is_last_moment => NextStep::StopAndRollBack,
+                    TrialVerdict::Good
+                    | TrialVerdict::Suspicious
+                    | TrialVerdict::Unresolved
+                    | TrialVerdict::Inconclusive
+                    | TrialVerdict::Bad => NextStep::Nothing,
+                }
             }
+            RolloutPhase::Completed | RolloutPhase::RolledBack => NextStep::Nothing,
         }
     }
 
--- a/crates/sassafrasproxy-core/src/forward/rollout/trial.rs
+++ b/crates/sassafrasproxy-core/src/forward/rollout/trial.rs
@@ -1,7 +1,7 @@
 //! Tracks the requests that one node sends to a version on trial, and counts the outcomes.
 
 use ecow::EcoString;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sassafrasproxy_wire::ReplicaEntry;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,6 +26,12 @@
 /// in use.
 const COARSE_REPLICA_CLASSES: u64 = 8;
 
+/// The number of rounds after the first one in which permits are released.
+///
+/// The requests of a round are sent to the same replica as soon as they arrive, so that a version
+/// that fails only under load shows it.
+const LATER_ROUNDS: u64 = 3;
+
 /// The number of classes in which the routes to a service are counted.
 const ROUTE_CLASSES: u64 = 4;
 
@@ -48,8 +54,8 @@
     pub permits: u32,
     /// The number of additional requests for each request that the node sends to the service.
     pub ratio: f64,
-    /// The time over which the permits are spread, in microseconds, so that a version that turns
-    /// bad later is still observed.
+    /// The time over which the permits are released in rounds, in microseconds, so that a version
+    /// that turns bad later is still observed.
     pub spread_us: u64,
 }
 
@@ -105,12 +111,21 @@
     /// The number of attempts on the version on trial; never above `allowed_sends`.
     trial_sends: u64,
     counts: IndexMap<(bool, u8, RouteClass), TrialCount>,
+    /// The classes of the routes on which attempts on any version have ended.
+    route_classes: IndexSet<RouteClass>,
 }
 
 impl Trial {
     /// Creates a trial in which nothing has been sent.
     pub fn new(grant: TrialGrant, now_us: u64) -> Self {
-        Self { grant, started_us: now_us, requests: 0, trial_sends: 0, counts: IndexMap::new() }
+        Self {
+            grant,
+            started_us: now_us,
+            requests: 0,
+            trial_sends: 0,
+            counts: IndexMap::new(),
+            route_classes: IndexSet::new(),
+        }
     }
 
     /// Returns the limits on the requests that this node may send.
@@ -123,9 +138,22 @@
         self.trial_sends < self.allowed_sends(now_us)
     }
 
-    /// Returns the number of this node's attempts on the version on trial.
-    pub fn trial_sends(&self) -> u64 {
-        self.trial_sends
+    /// Returns whether one more request on a route of `class` may go to the version on trial now.
+    ///
+    /// The last available permit is kept for the routes on which the fewest attempts have ended, so
+    /// that a version that fails on one route only is not missed because others used the permits.
+    pub fn may_send_on(&self, now_us: u64, class: RouteClass) -> bool {
+        match self.allowed_sends(now_us).saturating_sub(self.trial_sends) {
+            0 => false,
+            1 => self.is_least_tried(class),
+            _ => true,
+        }
+    }
+
+    /// Returns the round that the trial is in; each round uses another replica.
+    pub fn round(&self, now_us: u64) -> u64 {
+        let age_us = now_us.saturating_sub(self.started_us);
+        age_us.saturating_mul(LATER_ROUNDS) / self.grant.spread_us.max(1)
     }
 
     /// Records the first attempt of a request to the service.
@@ -153,6 +181,7 @@
             TrialOutcome::Failed => (1, 0),
             TrialOutcome::Unknown => return,
         };
+        self.route_classes.insert(route_class);
         let is_on_trial = replica.version == self.grant.version;
         let is_coarse = !is_on_trial || self.counts.len() >= MAX_FINE_COUNTS;
         let classes = if is_coarse { COARSE_REPLICA_CLASSES } else { REPLICA_CLASSES };
@@ -177,15 +206,26 @@
         }
     }
 
+    /// Returns whether no class of routes has fewer ended attempts on the version on trial.
+    fn is_least_tried(&self, class: RouteClass) -> bool {
+        let tried = |class: RouteClass| -> u32 {
+            let on_class = self.counts.values().filter(|count| count.route_class == class);
+            on_class.filter(|count| count.is_on_trial).map(|count| count.ended).sum()
+        };
+        let tried_on_class = tried(class);
+        self.route_classes.iter().all(|other| tried_on_class <= tried(*other))
+    }
+
     /// Returns the maximum number of attempts on the version on trial that this node may have made
     /// by now.
     ///
-    /// The first permit is available at once, and the others are spread evenly over `spread_us`.
+    /// The first permit is available at once, and the others in equal parts at the start of each
+    /// later round, the last one after `spread_us`.
     fn allowed_sends(&self, now_us: u64) -> u64 {
-        let TrialGrant { permits, ratio, spread_us, .. } = self.grant;
-        let age_us = now_us.saturating_sub(self.started_us).min(spread_us);
+        let TrialGrant { permits, ratio, .. } = self.grant;
+        let round = self.round(now_us).min(LATER_ROUNDS);
         let delayed = u64::from(permits.saturating_sub(1));
-        let by_age = u64::from(permits.min(1)) + delayed * age_us / spread_us.max(1);
-        by_age + (ratio * self.requests as f64) as u64
+        let released = (delayed * round).div_ceil(LATER_ROUNDS);
+        u64::from(permits.min(1)) + released + (ratio * self.requests as f64) as u64
     }
 }
--- a/crates/sassafrasproxy-core/src/forward/rollout/trial_analysis.rs
+++ b/crates/sassafrasproxy-core/src/forward/rollout/trial_analysis.rs
@@ -9,30 +9,43 @@
 
 /// The score from which a version is rolled back when no time is left to observe it further: an
 /// inconclusive trial does not lead to promotion.
-const INCONCLUSIVE_SCORE: f64 = 3.5;
+const INCONCLUSIVE_SCORE: f64 = 4.0;
 
 /// The score below which a version may be promoted before the time is up.
-const SUSPICIOUS_SCORE: f64 = 2.0;
+const SUSPICIOUS_SCORE: f64 = 2.9;
 
-/// The minimum fraction of the evidence that must come from replicas other than the worst one, if
-/// there are others.
-const MIN_OTHER_REPLICAS_FRACTION: f64 = 0.25;
+/// The score of a single replica from which the other replicas must be observed further.
+const REPLICA_SCORE: f64 = 4.0;
+
+/// The minimum number of attempts on the other replicas that must have ended since a replica's
+/// first failure, so that they show whether the version or only that replica is bad.
+const MIN_ATTEMPTS_ON_OTHERS: u32 = 8;
+
+/// The minimum fraction of the evidence for failures that must come from replicas other than the
+/// worst one, if there are others.
+const MIN_OTHERS_FAILED_FRACTION: f64 = 0.4;
+
+/// The same for slow answers; greater, because a pause of a replica delays many answers at once.
+const MIN_OTHERS_SLOW_FRACTION: f64 = 0.5;
 
 /// The minimum increase of the failure rate in a bad version.
-const MIN_FAILURE_RATE_INCREASE: f64 = 0.2;
+const MIN_FAILURE_RATE_INCREASE: f64 = 0.12;
 
 /// The minimum increase of the rate of slow answers in a bad version.
 const MIN_SLOW_RATE_INCREASE: f64 = 0.6;
 
 /// The lowest baseline rate of failed attempts that the test assumes.
-const MIN_FAILURE_RATE: f64 = 0.02;
+const MIN_FAILURE_RATE: f64 = 0.007;
 
 /// The lowest baseline rate of slow answers that the test assumes.
-const MIN_SLOW_RATE: f64 = 0.05;
+const MIN_SLOW_RATE: f64 = 0.06;
+
+/// The rate of failed attempts that is assumed while none on the version in use have ended.
+const PRIOR_FAILURE_RATE: f64 = 0.02;
 
-/// The weight of the lowest rates in the baseline, as a number of ended attempts, so that the
+/// The weight of the assumed rates in the baseline, as a number of ended attempts, so that the
 /// baseline is stable while few attempts on the version in use have ended.
-const PRIOR_ATTEMPTS: f64 = 20.0;
+const PRIOR_ATTEMPTS: f64 = 40.0;
 
 /// The minimum number of failures of a replica of the version in use that is left out of the
 /// baseline.
@@ -54,6 +67,9 @@
 pub enum TrialVerdict {
     /// There is no relevant evidence against it.
     Good,
+    /// One replica is bad, and too few attempts on the others have ended since to tell whether the
+    /// version is.
+    Unresolved,
     /// There is some evidence against it; it should be observed for longer.
     Suspicious,
     /// There is too much evidence against it to promote it.
@@ -83,7 +99,15 @@
 #[derive(Debug, Clone, Default)]
 struct Evidence {
     overall: CusumScore,
-    by_replica_class: IndexMap<u8, CusumScore>,
+    by_replica_class: IndexMap<u8, ReplicaEvidence>,
+}
+
+/// The evidence of the attempts on one class of replicas.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReplicaEvidence {
+    score: CusumScore,
+    /// The number of attempts on other replicas that have ended since `score` was last 0.
+    ended_on_others: u32,
 }
 
 /// The attempts on the version in use that have ended.
@@ -149,6 +173,7 @@
         match self.score(replicas) {
             score if score >= BAD_SCORE => TrialVerdict::Bad,
             score if score >= INCONCLUSIVE_SCORE => TrialVerdict::Inconclusive,
+            _ if replicas > 1 && self.all_routes.is_unresolved() => TrialVerdict::Unresolved,
             score if score >= SUSPICIOUS_SCORE => TrialVerdict::Suspicious,
             _ => TrialVerdict::Good,
         }
@@ -157,8 +182,8 @@
     fn add(&mut self, count: &TrialCount) {
         self.ended += u64::from(count.ended);
         let baseline = self.total_baseline();
-        let failure_rate = baseline.rate(baseline.failed, MIN_FAILURE_RATE);
-        let slow_rate = baseline.rate(baseline.slow, MIN_SLOW_RATE);
+        let failure_rate = baseline.rate(baseline.failed, PRIOR_FAILURE_RATE).max(MIN_FAILURE_RATE);
+        let slow_rate = baseline.rate(baseline.slow, MIN_SLOW_RATE).max(MIN_SLOW_RATE);
         let failed = log_likelihood_ratio(
             count.ended,
             count.failed,
@@ -174,8 +199,7 @@
         for evidence in
             [&mut self.all_routes, self.by_route_class.entry(count.route_class).or_default()]
         {
-            evidence.overall.add(failed, slow);
-            evidence.by_replica_class.entry(count.replica_class).or_default().add(failed, slow);
+            evidence.add(count, failed, slow);
         }
     }
 
@@ -193,19 +217,41 @@
         let is_outlier = worst.failed >= MIN_OUTLIER_FAILURES
             && others.ended >= MIN_OTHERS_ENDED
             && worst.failed / worst.ended
-                > MIN_OUTLIER_RATIO * others.rate(others.failed, MIN_FAILURE_RATE);
+                > MIN_OUTLIER_RATIO * others.rate(others.failed, PRIOR_FAILURE_RATE);
         if is_outlier { others } else { total }
     }
 }
 
 impl Evidence {
+    fn add(&mut self, count: &TrialCount, failed: f64, slow: f64) {
+        self.overall.add(failed, slow);
+        self.by_replica_class.entry(count.replica_class).or_default().score.add(failed, slow);
+        for (class, replica) in &mut self.by_replica_class {
+            if replica.score.max() <= 0.0 {
+                replica.ended_on_others = 0;
+            } else if *class != count.replica_class {
+                replica.ended_on_others += count.ended;
+            }
+        }
+    }
+
+    /// Returns whether a replica is bad and the others were hardly tried since.
+    fn is_unresolved(&self) -> bool {
+        self.by_replica_class.values().any(|replica| {
+            replica.score.max() >= REPLICA_SCORE && replica.ended_on_others < MIN_ATTEMPTS_ON_OTHERS
+        })
+    }
+
     /// Returns the stronger of the evidence for failures and the evidence for slowness.
     fn max_score(&self, replicas: u32) -> f64 {
         if replicas < 2 {
             return self.overall.failed.max(self.overall.slow);
         }
-        let failed = self.version_score(self.overall.failed, |score| score.failed);
-        failed.max(self.version_score(self.overall.slow, |score| score.slow))
+        let failed = self
+            .version_score(self.overall.failed, MIN_OTHERS_FAILED_FRACTION, |score| score.failed);
+        let slow =
+            self.version_score(self.overall.slow, MIN_OTHERS_SLOW_FRACTION, |score| score.slow);
+        failed.max(slow)
     }
 
     /// Returns the part of the evidence that is attributed to the version.
@@ -213,14 +259,19 @@
     /// Prevents a rollback because a single replica fails, crashes or is slow for its own reasons:
     /// if nearly all evidence comes from one of several replicas, it is capped in proportion to the
     /// evidence of the others.
-    fn version_score(&self, overall: f64, score_of: impl Fn(&CusumScore) -> f64) -> f64 {
-        let total: f64 = self.by_replica_class.values().map(&score_of).sum();
-        let worst = self.by_replica_class.values().map(&score_of).fold(0.0, f64::max);
-        let others = total - worst;
-        if others >= MIN_OTHER_REPLICAS_FRACTION * total {
+    fn version_score(
+        &self,
+        overall: f64,
+        min_others_fraction: f64,
+        score_of: impl Fn(&CusumScore) -> f64,
+    ) -> f64 {
+        let scores = || self.by_replica_class.values().map(|replica| score_of(&replica.score));
+        let total: f64 = scores().sum();
+        let others = total - scores().fold(0.0, f64::max);
+        if others >= min_others_fraction * total {
             overall
         } else {
-            overall.min(others / MIN_OTHER_REPLICAS_FRACTION)
+            overall.min(others / min_others_fraction)
         }
     }
 }
@@ -248,14 +299,17 @@
         }
     }
 
-    /// Returns the rate of `count` among the ended attempts, smoothed with `min_rate` as its prior.
-    fn rate(&self, count: f64, min_rate: f64) -> f64 {
-        let rate = (count + min_rate * PRIOR_ATTEMPTS) / (self.ended + PRIOR_ATTEMPTS);
-        rate.max(min_rate)
+    /// Returns the rate of `count` among the ended attempts, smoothed with a prior rate.
+    fn rate(&self, count: f64, prior_rate: f64) -> f64 {
+        (count + prior_rate * PRIOR_ATTEMPTS) / (self.ended + PRIOR_ATTEMPTS)
     }
 }
 
 impl CusumScore {
+    fn max(self) -> f64 {
+        self.failed.max(self.slow)
+    }
+
     fn add(&mut self, failed: f64, slow: f64) {
         self.failed = (self.failed + failed).max(0.0);
         self.slow = (self.slow + slow).max(0.0);
--- a/crates/sassafrasproxy-core/src/forward/routing/pool/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/routing/pool/mod.rs
@@ -199,8 +199,7 @@
     /// penalties for distance, stalls and errors.
     ///
     /// `expected_us` is the usual time of such a request. Replicas in `tried` are excluded, and so
-    /// are those that cannot take a request now. A replica on trial is returned instead if this
-    /// request may go to one.
+    /// are those on trial and those that cannot take a request now.
     pub fn pick(
         &self,
         service: &str,
@@ -234,9 +233,6 @@
         failure_cost: FailureCost,
     ) -> Option<EcoString> {
         let ids = self.services.get(service)?;
-        if let Some(id) = self.pick_on_trial(service, ids, now_us, tried) {
-            return Some(id);
-        }
         let mut best: Option<(f64, &EcoString)> = None;
         for id in ids {
             let state = &self.replicas[id];
@@ -257,30 +253,28 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// Returns the next replica on trial, if this request may go to one.
+    /// Returns the replica on trial for the first send of a request on a route of `class`; `None` if
+    /// the request may not go to one.
     ///
-    /// Only first sends go to a replica on trial: if it fails, the version in use serves the
-    /// request.
-    fn pick_on_trial(
+    /// If that replica fails, the version in use serves the request.
+    pub fn pick_on_trial(
         &self,
         service: &str,
-        ids: &[EcoString],
+        class: RouteClass,
         now_us: u64,
-        tried: &[EcoString],
     ) -> Option<EcoString> {
-        let trial = self.trials.get(service).filter(|_| tried.is_empty())?;
-        if !trial.may_send(now_us) {
-            return None;
-        }
+        let trial = self.trials.get(service).filter(|trial| trial.may_send_on(now_us, class))?;
         let is_candidate = |id: &&EcoString| {
             let state = &self.replicas[*id];
             state.is_on_trial && state.can_take_request(now_us, &self.pause_estimator)
         };
-        // Round robin, so that one faulty replica does not decide the verdict on its version. All
-        // canaries reach the same replica at about the same time, which shows how it handles load.
+        // One replica a round, so that one faulty replica does not decide the verdict on its
+        // version. All canaries reach the same replica at about the same time, which shows how it
+        // handles load.
+        let ids = self.services.get(service)?;
         let mut candidates: Vec<&EcoString> = ids.iter().filter(is_candidate).collect();
         candidates.sort_unstable();
-        let turn = trial.trial_sends() as usize % candidates.len().max(1);
+        let turn = trial.round(now_us) as usize % candidates.len().max(1);
         candidates.get(turn).map(|id| (*id).clone())
     }
 
--- a/crates/sassafrasproxy-core/src/forward/sending/fetch.rs
+++ b/crates/sassafrasproxy-core/src/forward/sending/fetch.rs
@@ -213,6 +213,11 @@
     fn pick(&self, now_us: u64, plan: &FetchPlan, pool: &UpstreamPool) -> Option<EcoString> {
         let is_last = !plan.is_idempotent || self.attempts + 1 >= plan.max_attempts;
         let (service, expected_us, tried) = (&self.service, plan.expected_us, &self.tried);
+        if tried.is_empty()
+            && let Some(replica) = pool.pick_on_trial(service, plan.route_class, now_us)
+        {
+            return Some(replica);
+        }
         if is_last {
             pool.pick_for_last_send(service, now_us, expected_us, tried)
         } else {
--- a/crates/sassafrasproxy-core/tests/rate_limits.rs
+++ b/crates/sassafrasproxy-core/tests/rate_limits.rs
@@ -10,7 +10,8 @@
 use sassafrasproxy_wire::{RateLimit, TokenCount, TokenDatagram};
 
 use crate::rate_limit_model::{
-    DAYS, SECOND_US, Scenario, SimulationResult, Way, bound, random_scenario, simulate,
+    DAY_OF_UNKNOWN_NODES, DAYS, SECOND_US, Scenario, SimulationResult, Way, bound, random_scenario,
+    simulate,
 };
 
 /// The promised fraction of requests below the limit that are refused, on days with at most one
@@ -121,6 +122,13 @@
     simulate_all((1..4).map(|seed| random_scenario(seed, 6, 10, "long split")));
 }
 
+/// Guards against more requests than the bound when nodes that are cut off restart and do not know
+/// which nodes exist: they earn the whole rate of each account.
+#[test]
+fn restart_without_known_nodes() {
+    simulate_all((1..=12).map(|seed| random_scenario(seed, 6, 10, DAY_OF_UNKNOWN_NODES)));
+}
+
 /// Checks the refusals of accounts below their limits on days with at most one fault.
 fn check_refusals(nodes: usize, seeds: std::ops::Range<u64>) {
     for day in ["calm", "restart", "stop", "suspect", "added"] {
--- a/crates/sassafrasproxy-core/tests/rollout_model/mod.rs
+++ b/crates/sassafrasproxy-core/tests/rollout_model/mod.rs
@@ -422,7 +422,9 @@
     fn send(&mut self, node: usize, route: u8, tried: &[EcoString], is_first: bool) {
         let now_us = self.fleet.now_us;
         let pool = &mut self.nodes[node].pool;
-        let Some(id) = pool.pick("desk", now_us, WORK_US as u64, tried) else { return };
+        let on_trial = if is_first { pool.pick_on_trial("desk", route, now_us) } else { None };
+        let id = on_trial.or_else(|| pool.pick("desk", now_us, WORK_US as u64, tried));
+        let Some(id) = id else { return };
         let send = pool.start_send(&id, now_us, WORK_US as u64, 2 * WORK_US as u64).unwrap();
         pool.count_in_trial(&id, send, is_first, route);
         let at = self.replicas.iter().position(|one| one.entry.id == id).unwrap();
--- a/crates/sassafrasproxy-core/tests/rollouts.rs
+++ b/crates/sassafrasproxy-core/tests/rollouts.rs
@@ -344,6 +344,28 @@
     }
 }
 
+/// Guards against a replica of the old version that fails some requests and so makes a bad version
+/// look no worse than the old one.
+#[test]
+fn bad_old_replica_hides_nothing() {
+    let mut analysis = TrialAnalysis::default();
+    analysis.add_report("vm-1", &report(&[count(false, 1, 100, 40), count(false, 2, 200, 0)]));
+    analysis.add_report("vm-2", &report(&[count(true, 1, 15, 3), count(true, 2, 15, 3)]));
+    assert_eq!(analysis.verdict(2), TrialVerdict::Bad);
+}
+
+/// Guards against completing a version whose failures were all seen on one replica because the
+/// others were not tried since.
+#[test]
+fn one_bad_replica_is_unresolved() {
+    let mut analysis = TrialAnalysis::default();
+    let failed = count(true, 1, 6, 3);
+    analysis.add_report("vm-1", &report(&[count(true, 2, 12, 0), failed]));
+    assert_eq!(analysis.verdict(2), TrialVerdict::Unresolved);
+    analysis.add_report("vm-1", &report(&[count(true, 2, 22, 0), failed]));
+    assert_eq!(analysis.verdict(2), TrialVerdict::Good);
+}
+
 /// Guards against completing a promoted version at a coordinator that has just replaced another
 /// one and has no reports yet.
 #[test]
@@ -378,12 +400,46 @@
     assert_eq!(record.phase, RolloutPhase::Completed);
 }
 
-/// Guards against a replica of the old version that fails some requests and so makes a bad version
-/// look no worse than the old one.
+/// Guards against a trial that misses a version that fails on one route, because other routes used
+/// the permits.
 #[test]
-fn bad_old_replica_hides_nothing() {
-    let mut analysis = TrialAnalysis::default();
-    analysis.add_report("vm-1", &report(&[count(false, 1, 100, 40), count(false, 2, 200, 0)]));
-    analysis.add_report("vm-2", &report(&[count(true, 1, 15, 3), count(true, 2, 15, 3)]));
-    assert_eq!(analysis.verdict(2), TrialVerdict::Bad);
+fn routes_share_permits() {
+    let grant = TrialGrant {
+        version: "v2".into(),
+        order_revision: 9,
+        permits: 4,
+        ratio: 0.0,
+        spread_us: 6_000_000,
+    };
+    let mut trial = Trial::new(grant, 0);
+    let answered = TrialOutcome::Answered { took_us: 900 };
+    trial.record_end(&replica(0), 2, 1_000, answered);
+    let mut sent = Vec::new();
+    // Most requests come on route 1.
+    for (second, route) in [(0, 1), (2, 1), (3, 2), (4, 1), (6, 1), (7, 2)] {
+        if trial.may_send_on(second * 1_000_000, route) {
+            trial.record_send();
+            trial.record_end(&replica(1), route, 1_000, answered);
+            sent.push((second, route));
+        }
+    }
+    assert_eq!(sent, [(0, 1), (3, 2), (4, 1), (7, 2)]);
+}
+
+/// Asserts that the exposure stays bounded in the first 600 random scenarios with a behavior.
+fn assert_bounded_in_all(is_selected: impl Fn(VersionBehavior) -> bool) {
+    let behavior = |seed| random_scenario(seed, true, policy()).behavior;
+    (1..=600).filter(|seed| is_selected(behavior(*seed))).for_each(assert_exposure_bounded);
+}
+
+/// Guards against promoting a version that fails only requests that run concurrently with others.
+#[test]
+fn exposure_under_load() {
+    assert_bounded_in_all(|behavior| matches!(behavior, VersionBehavior::FailsUnderLoad { .. }));
+}
+
+/// Guards against promoting a version that fails on one of several routes.
+#[test]
+fn exposure_on_one_route() {
+    assert_bounded_in_all(|behavior| matches!(behavior, VersionBehavior::FailsOneRoute { .. }));
 }
