Let the soak refuse a merged answer without its count of missing parts

The soak's check passed a merged answer that did not say how many parts are missing, as the missing header ended the check: an answer that says nothing of what it covers would not have been found. Found by a reader; now it is a violation.

--- a/crates/sassafrasproxy-soak/src/checker.rs
+++ b/crates/sassafrasproxy-soak/src/checker.rs
@@ -202,7 +202,9 @@
 fn check_merged_answer(answer: &CallerAnswer) -> Option<String> {
     let stamps = answer.part_stamps();
     let shards: Option<IndexSet<u8>> = stamps.iter().map(|stamp| shard_of_stamp(stamp)).collect();
-    let missing = answer.missing_shard_count()?;
+    let Some(missing) = answer.missing_shard_count() else {
+        return Some(format!("no count of the missing parts: {:?}", answer.headers));
+    };
     let Some(mut shards) = shards.filter(|shards| shards.len() == stamps.len()) else {
         return Some(format!(
             "the part stamps name an unknown shard, or one shard twice: {stamps:?}"
