Log each crash report, and why a request with reports is let through

Callers' repeats of a request that crashes replicas could not be explained from the logs: they did not tell which node knew which crash, from whom, or that a report had expired. Each added report now has a line with the peer that passed it on and the count; a request that is let through with reports, and a replica that is no crash as it still accepts connections, have lines too; a gauge tells how many requests are quarantined. Nothing is decided otherwise.

--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine.rs
@@ -74,6 +74,18 @@
         crashes.insert(report.crash_id, now_us + REPORT_TTL_US).is_none()
     }
 
+    /// Returns the number of reports on a request, including those that expired since the last
+    /// call of `is_quarantined`.
+    pub fn report_count(&self, fingerprint: u64) -> usize {
+        self.expiries_us.get(&fingerprint).map_or(0, IndexMap::len)
+    }
+
+    /// Returns the number of quarantined requests, including those whose reports expired since the
+    /// last call of `is_quarantined`.
+    pub fn quarantined_count(&self) -> usize {
+        self.expiries_us.values().filter(|crashes| crashes.len() >= MIN_CRASH_REPORTS).count()
+    }
+
     /// Returns whether a request is refused; drops its expired reports.
     pub fn is_quarantined(&mut self, now_us: u64, fingerprint: u64) -> bool {
         let Some(crashes) = self.expiries_us.get_mut(&fingerprint) else { return false };
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -100,10 +100,10 @@
     let AdmittedCaller { version, route, account, token, elapsed_us } = caller;
     let request = CallerRequest::new(head, account, token, parts, body, arrived_us, elapsed_us);
     let request = Rc::new(request);
-    if traffic.is_quarantined(request.fingerprint) {
-        let request = &request.attempt_id;
+    if traffic.is_quarantined(&request) {
+        let (fingerprint, request) = (request.fingerprint, &request.attempt_id);
         log::info!(
-            request:%, route:% = route.name;
+            request:%, route:% = route.name, fingerprint;
             "refused a quarantined request that crashes replicas"
         );
         return Err(Refusal::Quarantined);
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -22,6 +22,7 @@
 
 use crate::confirmation::{ViewConfirmation, key_freshness};
 use crate::metrics::{GatewayMetrics, KindLabel};
+use crate::peer_gossip::PeerCrashReport;
 use crate::peer_sync::{pull_during_outage, serve_updates};
 use crate::registration::keep_registered;
 use crate::store_follower::follow_store;
@@ -72,7 +73,7 @@
     /// Crash reports from the traffic thread.
     pub local_crashes: mpsc::UnboundedReceiver<CrashReport>,
     /// Passes crash reports from peers to the traffic thread.
-    pub peer_crashes: mpsc::UnboundedSender<CrashReport>,
+    pub peer_crashes: mpsc::UnboundedSender<PeerCrashReport>,
     /// Trial reports from the traffic thread.
     pub local_trials: mpsc::UnboundedReceiver<Vec<TrialReport>>,
 }
--- a/crates/sassafrasproxy-gateway/src/metrics.rs
+++ b/crates/sassafrasproxy-gateway/src/metrics.rs
@@ -100,6 +100,8 @@
     pub send_ends: Family<KindLabel, Counter>,
     /// Answers of replicas with an invalid work time, which was ignored.
     pub invalid_work_times: Counter,
+    /// The number of requests that this node knows to be quarantined.
+    pub quarantined_requests: Gauge,
     /// Shards that are missing from gathered answers.
     pub missing_parts: Counter,
     /// Calls to the store, by operation.
@@ -152,6 +154,7 @@
             sends: Family::default(),
             send_ends: Family::default(),
             invalid_work_times: Counter::default(),
+            quarantined_requests: Gauge::default(),
             missing_parts: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
@@ -214,6 +217,11 @@
             "Ignored work times of replicas",
             self.invalid_work_times.clone(),
         );
+        registry.register(
+            "quarantined_requests",
+            "Requests refused as they crash replicas",
+            self.quarantined_requests.clone(),
+        );
         registry.register("missing_parts", "Shards left out", self.missing_parts.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register("store_failures", "Failed calls", self.store_failures.clone());
--- a/crates/sassafrasproxy-gateway/src/peer_gossip.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_gossip.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ecow::eco_format;
+use ecow::{EcoString, eco_format};
 use sassafrasproxy_core::{
     CrashReport, DiscoveryEvent, GossipPolicy, MAX_DATAGRAM_BYTES, OutgoingDatagram, PeerDatagram,
     TrialReport,
@@ -21,7 +21,16 @@
     /// Reports from the traffic thread.
     pub local: mpsc::UnboundedReceiver<CrashReport>,
     /// Passes reports from peers to the traffic thread.
-    pub from_peers: mpsc::UnboundedSender<CrashReport>,
+    pub from_peers: mpsc::UnboundedSender<PeerCrashReport>,
+}
+
+/// A crash report and the peer that passed it on.
+#[derive(Debug)]
+pub struct PeerCrashReport {
+    /// The name of the peer, which may have got the report from another.
+    pub peer: EcoString,
+    /// The report.
+    pub report: CrashReport,
 }
 
 /// The channels for the trial reports and stopped rollouts that are sent to peers.
@@ -84,7 +93,7 @@
     state: &ControlState,
     bytes: &[u8],
     from: SocketAddr,
-    crashes: &mpsc::UnboundedSender<CrashReport>,
+    crashes: &mpsc::UnboundedSender<PeerCrashReport>,
 ) -> Vec<OutgoingDatagram> {
     let datagram = match PeerDatagram::decode(bytes) {
         Ok(datagram) => datagram,
@@ -93,9 +102,10 @@
             return Vec::new();
         }
     };
-    for report in &datagram.crash_reports {
+    for &report in &datagram.crash_reports {
+        let peer = datagram.sender.node.clone();
         // Fails only if the traffic thread has ended; the process is exiting then.
-        let _ = crashes.send(*report);
+        let _ = crashes.send(PeerCrashReport { peer, report });
     }
     rollouts::record_peer_trials(state, &datagram.sender.node, &datagram.trial_reports);
     for &order_revision in &datagram.stopped_rollouts {
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -24,8 +24,10 @@
 use crate::confirmation::ViewConfirmation;
 use crate::connection_pool::{ConnectionPool, UpstreamConnection, connect};
 use crate::metrics::{GatewayMetrics, KindLabel};
+use crate::peer_gossip::PeerCrashReport;
 use crate::rate_limits::RateLimits;
 use crate::relay_pool::RelayPool;
+use crate::request::CallerRequest;
 use crate::rollouts::TRIAL_INTERVAL;
 use crate::view::GatewayView;
 
@@ -170,9 +172,14 @@
     }
 
     /// Records the crash reports of peers until the control thread ends.
-    pub async fn follow_crashes(self: Rc<Self>, mut reports: mpsc::UnboundedReceiver<CrashReport>) {
-        while let Some(report) = reports.recv().await {
-            self.request_quarantine.borrow_mut().add_report(self.clock.now_us(), report);
+    pub async fn follow_crashes(
+        self: Rc<Self>,
+        mut reports: mpsc::UnboundedReceiver<PeerCrashReport>,
+    ) {
+        while let Some(PeerCrashReport { peer, report }) = reports.recv().await {
+            if self.add_crash_report(report) {
+                self.log_crash_report(&peer, report);
+            }
         }
     }
 
@@ -195,16 +202,43 @@
 
     /// Records that a replica crashed while it ran a request; a new report also goes to the peers.
     pub fn record_crash(&self, report: CrashReport) {
-        let is_new = self.request_quarantine.borrow_mut().add_report(self.clock.now_us(), report);
-        if is_new {
+        if self.add_crash_report(report) {
+            self.log_crash_report("", report);
             // The channel is closed if the control thread has ended.
             let _ = self.crash_reports.send(report);
         }
     }
 
+    fn add_crash_report(&self, report: CrashReport) -> bool {
+        let mut quarantine = self.request_quarantine.borrow_mut();
+        let is_new = quarantine.add_report(self.clock.now_us(), report);
+        self.metrics.quarantined_requests.set(quarantine.quarantined_count() as i64);
+        is_new
+    }
+
+    /// Logs a new crash report; `peer` passed it on, or is empty if this node saw the crash.
+    fn log_crash_report(&self, peer: &str, report: CrashReport) {
+        let reports = self.request_quarantine.borrow().report_count(report.fingerprint);
+        let (fingerprint, crash) = (report.fingerprint, report.crash_id);
+        log::info!(fingerprint, crash, peer, reports; "a crash report was added");
+    }
+
     /// Whether a request has crashed so many replicas that this node must not send it to another.
-    pub fn is_quarantined(&self, fingerprint: u64) -> bool {
-        self.request_quarantine.borrow_mut().is_quarantined(self.clock.now_us(), fingerprint)
+    pub fn is_quarantined(&self, request: &CallerRequest) -> bool {
+        let fingerprint = request.fingerprint;
+        let mut quarantine = self.request_quarantine.borrow_mut();
+        let reports = quarantine.report_count(fingerprint);
+        let is_quarantined = quarantine.is_quarantined(self.clock.now_us(), fingerprint);
+        if reports > 0 && !is_quarantined {
+            let request = &request.attempt_id;
+            let current = quarantine.report_count(fingerprint);
+            log::info!(
+                request:%, fingerprint, reports = current, expired = reports - current;
+                "let a request with crash reports through"
+            );
+        }
+        self.metrics.quarantined_requests.set(quarantine.quarantined_count() as i64);
+        is_quarantined
     }
 
     /// Returns the current settings.
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -267,13 +267,20 @@
     let report = CrashReport::new(spec.request.fingerprint, &spec.request.attempt_id, replica);
     let (traffic, address) = (traffic.clone(), spec.replica.address);
     let (request, replica) = (spec.request.attempt_id.clone(), spec.replica.id.clone());
+    let fingerprint = report.fingerprint;
     spawn_local(async move {
-        let connected = connect(address, CONNECT_TIMEOUT, Duration::ZERO).await;
-        if let Err(error) = connected
-            && error.is_process_gone()
-        {
-            log::warn!(request:%, replica:%, error:%; "a replica crashed while it ran a request");
-            traffic.record_crash(report);
+        match connect(address, CONNECT_TIMEOUT, Duration::ZERO).await {
+            Err(error) if error.is_process_gone() => {
+                log::warn!(
+                    request:%, replica:%, fingerprint, error:%;
+                    "a replica crashed while it ran a request"
+                );
+                traffic.record_crash(report);
+            }
+            Ok(_) | Err(_) => log::info!(
+                request:%, replica:%, fingerprint;
+                "a replica whose connection broke still accepts connections"
+            ),
         }
     });
 }
