--- a/crates/sassafrasproxy-cli/tests/gateway/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -9,8 +9,8 @@
 use http::Request;
 use http_body_util::Full;
 use sassafrasproxy_platform_standin::{
-    CallerAnswer, DeclaredAccount, DeclaredRoute, DeclaredTarget, GatewayProcess, ReplicaStandIn,
-    StoreStandIn, send_get, send_request,
+    CallerAnswer, DeclaredAccount, DeclaredRoute, DeclaredTarget, GatewayProcess, ReplicaMode,
+    ReplicaStandIn, StoreStandIn, send_get, send_request,
 };
 use serde_json::Value;
 
@@ -140,6 +140,11 @@
         self.replicas.iter().find(|replica| replica.id() == id).unwrap()
     }
 
+    /// Changes how all replicas treat requests.
+    pub fn set_modes(&self, mode: ReplicaMode) {
+        self.replicas.iter().for_each(|replica| replica.set_mode(mode.clone()));
+    }
+
     /// Sends one request to a gateway.
     pub async fn ask(&self, gateway: usize, path: &str) -> CallerAnswer {
         send_get(self.gateways[gateway].callers_address(), HOST, path, &unique_attempt_id(), 2_000)
--- a/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
@@ -6,9 +6,17 @@
 
 use std::time::Duration;
 
-use sassafrasproxy_platform_standin::ReplicaMode;
+use indexmap::IndexSet;
+use sassafrasproxy_platform_standin::{ReplicaMode, ReplicaStandIn, send_get};
 
-use crate::gateway::Cluster;
+use crate::gateway::{Cluster, HOST, unique_attempt_id};
+
+/// The maximum number of attempts of a request that reach replicas after three have crashed under
+/// it, which the users' rules allow.
+const MAX_LATER_ATTEMPTS: usize = 3;
+
+/// The time between repeats, after which the replicas that crashed are back.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Guards against a request that crashes one replica after another.
 ///
@@ -40,3 +48,109 @@
         assert_eq!(cluster.ask(gateway, "/desk/poison").await.status, 503);
     }
 }
+
+/// Guards against nodes that start after the crashes and let the request in again, each anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_nodes_know_crashes() {
+    let mut cluster = Cluster::start(3).await;
+    let mut repeats = Repeats::new("/desk/poison");
+    assert_started_nodes_know(&mut cluster, &mut repeats).await;
+}
+
+/// Guards against nodes that start after the crashes and let a query over shards in again.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_nodes_know_crashing_query() {
+    let mut cluster = Cluster::start(3).await;
+    let mut repeats = Repeats::new("/all/poison");
+    assert_started_nodes_know(&mut cluster, &mut repeats).await;
+}
+
+/// Guards against a fleet that forgets the crashes once all its processes have been killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_fleet_knows_crashes() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("poison"));
+    let mut repeats = Repeats::new("/desk/poison");
+    for attempt in 0..6 {
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    for _ in 0..2 {
+        cluster.gateways.clear();
+        for gateway in 0..3 {
+            cluster.add_gateway();
+            cluster.ask_until(gateway, "/desk/1", |answer| answer.status == 200).await;
+        }
+        for attempt in 0..6 {
+            repeats.ask(&cluster, attempt % 3).await;
+        }
+    }
+    repeats.assert_few_reach_replicas(&cluster);
+}
+
+/// Guards against a request whose replicas fall silent, which no connection that breaks shows.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_replicas_count_as_crashed() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::FallingSilentOn("poison"));
+    let mut repeats = Repeats::new("/desk/poison");
+    for attempt in 0..9 {
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    repeats.assert_few_reach_replicas(&cluster);
+}
+
+/// Repeats the request on three nodes, and then on three that start one after the other.
+async fn assert_started_nodes_know(cluster: &mut Cluster, repeats: &mut Repeats) {
+    cluster.set_modes(ReplicaMode::CrashingOn("poison"));
+    for attempt in 0..6 {
+        repeats.ask(cluster, attempt % 3).await;
+    }
+    for _ in 0..3 {
+        let gateway = cluster.add_gateway();
+        cluster.ask_until(gateway, "/desk/1", |answer| answer.status == 200).await;
+        for _ in 0..3 {
+            repeats.ask(cluster, gateway).await;
+        }
+    }
+    repeats.assert_few_reach_replicas(cluster);
+}
+
+/// A request that its caller repeats, with the ids of its attempts.
+struct Repeats {
+    path: &'static str,
+    attempt_ids: IndexSet<String>,
+}
+
+impl Repeats {
+    fn new(path: &'static str) -> Self {
+        Self { path, attempt_ids: IndexSet::new() }
+    }
+
+    /// Sends the request to a gateway once the replicas that crashed before are back.
+    async fn ask(&mut self, cluster: &Cluster, gateway: usize) {
+        tokio::time::sleep(REPEAT_INTERVAL).await;
+        let attempt_id = unique_attempt_id();
+        let address = cluster.gateways[gateway].callers_address();
+        let answer = send_get(address, HOST, self.path, &attempt_id, 400).await.unwrap();
+        assert_ne!(answer.status, 200);
+        self.attempt_ids.insert(attempt_id);
+    }
+
+    /// Checks that few attempts reach replicas after three replicas have crashed.
+    fn assert_few_reach_replicas(&self, cluster: &Cluster) {
+        let mut received: Vec<_> =
+            cluster.replicas.iter().flat_map(ReplicaStandIn::received_requests).collect();
+        received.retain(|request| self.attempt_ids.contains(&request.attempt_id));
+        received.sort_by_key(|request| request.received_at);
+        let (crashing, later) = received.split_at(3);
+        let crashing: IndexSet<&String> =
+            crashing.iter().map(|request| &request.attempt_id).collect();
+        let later: IndexSet<&String> = later.iter().map(|request| &request.attempt_id).collect();
+        let later = later.difference(&crashing).count();
+        assert!(
+            later <= MAX_LATER_ATTEMPTS,
+            "{later} attempts after the third crash, {} sends in all",
+            received.len()
+        );
+    }
+}
--- a/crates/sassafrasproxy-core/tests/request_quarantine.rs
+++ b/crates/sassafrasproxy-core/tests/request_quarantine.rs
@@ -47,3 +47,20 @@
     let split = CrashReport::fingerprint("h", "GET", "/ab", b"c");
     assert_ne!(split, CrashReport::fingerprint("h", "GET", "/a", b"bc"));
 }
+
+/// Guards against a request that is let in again at full strength each time its reports expire.
+#[test]
+fn repeats_for_an_hour() {
+    let crashing = fingerprint("/x/1");
+    let mut quarantine = RequestQuarantine::default();
+    let mut crashes = 0;
+    for second in 0..3_600 {
+        let now_us = second * 1_000_000;
+        if !quarantine.is_quarantined(now_us, crashing) {
+            crashes += 1;
+            let report = CrashReport::new(crashing, &format!("a{second}"), "r1");
+            quarantine.add_report(now_us, report);
+        }
+    }
+    assert!(crashes - 3 <= 3, "{crashes} crashes, three of them before the quarantine");
+}
