--- a/crates/sassafrasproxy-core/src/forward/callers/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/mod.rs
@@ -28,5 +28,8 @@
     AdmissionDecision, AdmissionId, AdmissionRefusal, AdmissionRequest, AdmissionStatus,
     ExtraSends, LoadLevel, NodeAdmission, RefusalCause,
 };
-pub use self::request_quarantine::{CrashReport, RequestQuarantine};
+pub use self::request_quarantine::{
+    CrashReport, MAX_QUARANTINE_RECORDS, QuarantineDecision, QuarantineRecord, QuarantineRecords,
+    QuarantineWrite, ReportStep, RequestQuarantine,
+};
 pub use self::retry_delay::{retry_delay_ms, retry_delay_within_ms};
--- a/crates/sassafrasproxy-core/src/forward/registry/catalogue.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/catalogue.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use sassafrasproxy_wire::{CallerLimits, ReplicaEntry, RoutedService};
 
-use crate::{AccountTable, RouteTable, TrialGrant};
+use crate::{AccountTable, QuarantineRecords, RouteTable, TrialGrant};
 
 /// An immutable snapshot of the configuration and the usable replicas.
 ///
@@ -27,6 +27,8 @@
     pub replicas: IndexMap<EcoString, CatalogueReplica>,
     /// The traffic that this node may send to versions on trial, by service.
     pub trial_grants: IndexMap<EcoString, TrialGrant>,
+    /// The records of the quarantined requests.
+    pub quarantines: Arc<QuarantineRecords>,
 }
 
 /// A replica in the catalogue.
--- a/crates/sassafrasproxy-core/src/forward/registry/datagram.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/datagram.rs
@@ -36,6 +36,11 @@
     /// Encoded after all other fields: nodes of builds without it ignore what follows them.
     #[serde(skip)]
     pub work: WorkReport,
+    /// Requests that replicas have answered, so that crash reports on them no longer count.
+    ///
+    /// Encoded after `work`, for the same reason, and left out while empty.
+    #[serde(skip)]
+    pub answered_requests: Vec<AnsweredRequest>,
     /// Recent reports of replicas that crashed while they processed a request.
     pub crash_reports: Vec<CrashReport>,
     /// Rollouts that were stopped recently, each by the store's revision of its order.
@@ -54,7 +59,11 @@
     /// Fails with `DatagramError::EncodeFailed` if a field cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, DatagramError> {
         let bytes = postcard::to_extend(self, vec![FORMAT]).map_err(DatagramError::EncodeFailed)?;
-        postcard::to_extend(&self.work, bytes).map_err(DatagramError::EncodeFailed)
+        let bytes = postcard::to_extend(&self.work, bytes).map_err(DatagramError::EncodeFailed)?;
+        if self.answered_requests.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.answered_requests, bytes).map_err(DatagramError::EncodeFailed)
     }
 
     /// Decodes a datagram from the bytes that were received.
@@ -65,7 +74,10 @@
             Some((&FORMAT, body)) => {
                 let (mut datagram, rest): (Self, &[u8]) =
                     postcard::take_from_bytes(body).map_err(DatagramError::Malformed)?;
-                datagram.work = postcard::from_bytes(rest).unwrap_or_default();
+                if let Ok((work, rest)) = postcard::take_from_bytes(rest) {
+                    datagram.work = work;
+                    datagram.answered_requests = postcard::from_bytes(rest).unwrap_or_default();
+                }
                 Ok(datagram)
             }
             Some((&format, _)) => Err(DatagramError::UnsupportedFormat { format }),
@@ -76,7 +88,8 @@
     /// Adds updates until the next one would exceed `MAX_DATAGRAM_BYTES`.
     pub fn fill(&mut self, updates: impl IntoIterator<Item = GossipUpdate>) {
         // One byte for the format, and two because the encoded count of updates may get longer.
-        let mut length = 3 + encoded_len(self) + encoded_len(&self.work);
+        let mut length =
+            3 + encoded_len(self) + encoded_len(&self.work) + encoded_len(&self.answered_requests);
         for update in updates {
             length += encoded_len(&update);
             if length > MAX_DATAGRAM_BYTES {
@@ -87,6 +100,16 @@
     }
 }
 
+/// A request that a replica has answered although replicas crashed while they ran it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct AnsweredRequest {
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// A random number, so that a later answer is not taken for one that was passed on already.
+    pub answer_id: u64,
+}
+
 /// An error from encoding or decoding a datagram.
 #[derive(Debug, thiserror::Error)]
 pub enum DatagramError {
--- a/crates/sassafrasproxy-core/src/forward/registry/discovery/events.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/discovery/events.rs
@@ -115,6 +115,18 @@
         /// The phase of the rollout.
         phase: RolloutPhase,
     },
+    /// A request was quarantined, or got a trial.
+    QuarantineRecorded {
+        /// The fingerprint of the request.
+        fingerprint: u64,
+        /// The number of trials that nodes have started.
+        trials: usize,
+    },
+    /// The quarantine of a request ended.
+    QuarantineRemoved {
+        /// The fingerprint of the request.
+        fingerprint: u64,
+    },
     /// A rollout was stopped before the store recorded it.
     RolloutStopped {
         /// The store's revision of the rollout's order.
--- a/crates/sassafrasproxy-core/src/forward/registry/discovery/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/discovery/mod.rs
@@ -14,9 +14,10 @@
 use self::known_replica::{KnownReplica, cold_until_us};
 use super::entries::ChangeLog;
 use super::rollouts::{RolloutEntries, RolloutParticipant};
+use super::versioned_entries::VersionedEntries;
 use crate::{
-    AccountTable, Catalogue, CatalogueReplica, NodeRegistration, RegistryChanges, RegistryEntry,
-    RegistryKey, RolloutState, RouteTable,
+    AccountTable, Catalogue, CatalogueReplica, NodeRegistration, QuarantineRecord,
+    QuarantineRecords, RegistryChanges, RegistryEntry, RegistryKey, RolloutState, RouteTable,
 };
 
 /// The time for which a replica whose entry expired is held after the store recovers, in
@@ -43,6 +44,9 @@
     domains_out: IndexMap<EcoString, (u64, bool)>,
     nodes: IndexMap<EcoString, NodeRegistration>,
     rollouts: RolloutEntries,
+    quarantines: VersionedEntries<u64, QuarantineRecord>,
+    /// The records of the last catalogue; `None` if they have changed since.
+    published_quarantines: Option<Arc<QuarantineRecords>>,
     is_store_unavailable: bool,
     /// The time until which replicas whose entries are gone are held, in microseconds.
     hold_until_us: u64,
@@ -158,6 +162,10 @@
             RegistryKey::RolloutRecord(service) => {
                 self.rollouts.record(service).cloned().map(RegistryEntry::RolloutRecord)
             }
+            RegistryKey::Quarantine(fingerprint) => {
+                let known = self.quarantines.get(fingerprint)?;
+                Some(RegistryEntry::Quarantine(known.value))
+            }
         }
     }
 
@@ -196,10 +204,24 @@
         // the store.
         entries.extend(self.nodes.values().map(|node| (RegistryEntry::Node(node.clone()), 0)));
         entries.extend(self.rollouts.entries());
+        entries.extend(
+            self.quarantines
+                .iter()
+                .map(|(_, known)| (RegistryEntry::Quarantine(known.value), known.revision)),
+        );
         entries
     }
 
-    fn catalogue(&self) -> Catalogue {
+    /// Returns the records of the quarantined requests.
+    pub fn quarantines(&mut self) -> Arc<QuarantineRecords> {
+        let records = self.quarantines.iter();
+        let records =
+            records.map(|(fingerprint, known)| (*fingerprint, (known.value, known.revision)));
+        let published = &mut self.published_quarantines;
+        published.get_or_insert_with(|| Arc::new(records.collect())).clone()
+    }
+
+    fn catalogue(&mut self) -> Catalogue {
         let mut replicas = self.catalogue_replicas();
         let trial_grants = self.rollouts.restrict_replicas(&mut replicas);
         Catalogue {
@@ -210,6 +232,7 @@
             accounts: self.accounts.clone(),
             replicas,
             trial_grants,
+            quarantines: self.quarantines(),
         }
     }
 
@@ -244,6 +267,7 @@
         self.domains_out.values_mut().for_each(|(_, is_listed)| *is_listed = false);
         self.nodes.clear();
         self.rollouts.start_list();
+        self.quarantines.start_list();
     }
 
     fn end_list(&mut self, now_us: u64) {
@@ -257,7 +281,10 @@
         for id in missing {
             self.remove_or_hold_replica(now_us, &id);
         }
-        for key in self.rollouts.unlisted() {
+        let quarantines = self.quarantines.unlisted().copied().map(RegistryKey::Quarantine);
+        let unlisted: Vec<RegistryKey> =
+            self.rollouts.unlisted().into_iter().chain(quarantines).collect();
+        for key in unlisted {
             self.remove_entry(now_us, &key, u64::MAX);
         }
     }
@@ -297,8 +324,11 @@
         for id in removed {
             self.remove_replica(id);
         }
-        let rollouts: Vec<(RegistryKey, u64)> = self.rollouts.keys().collect();
-        for (key, known_revision) in rollouts {
+        let quarantines = self.quarantines.iter();
+        let quarantines = quarantines
+            .map(|(fingerprint, known)| (RegistryKey::Quarantine(*fingerprint), known.revision));
+        let keys: Vec<(RegistryKey, u64)> = self.rollouts.keys().chain(quarantines).collect();
+        for (key, known_revision) in keys {
             if is_removed(key.clone(), known_revision) {
                 self.remove_entry(now_us, &key, revision);
             }
@@ -333,6 +363,15 @@
                     self.is_catalogue_stale = true;
                 }
             }
+            RegistryEntry::Quarantine(record) => {
+                let QuarantineRecord { fingerprint, trials } = record;
+                if self.quarantines.upsert_if_newer(fingerprint, record, revision) {
+                    self.log_events
+                        .push(DiscoveryLogEvent::QuarantineRecorded { fingerprint, trials });
+                    self.published_quarantines = None;
+                    self.is_catalogue_stale = true;
+                }
+            }
         }
     }
 
@@ -443,6 +482,14 @@
             RegistryKey::RolloutRecord(service) => {
                 self.is_catalogue_stale |= self.rollouts.remove_record(service, revision);
             }
+            RegistryKey::Quarantine(fingerprint) => {
+                if self.quarantines.remove_if_older(fingerprint, revision) {
+                    let fingerprint = *fingerprint;
+                    self.log_events.push(DiscoveryLogEvent::QuarantineRemoved { fingerprint });
+                    self.published_quarantines = None;
+                    self.is_catalogue_stale = true;
+                }
+            }
         }
     }
 
--- a/crates/sassafrasproxy-core/src/forward/registry/entries.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/entries.rs
@@ -7,7 +7,7 @@
 use sassafrasproxy_wire::{MemberUpdate, ReplicaEntry, RouteConfiguration};
 use serde::{Deserialize, Serialize};
 
-use crate::{RolloutOrder, RolloutRecord};
+use crate::{QuarantineRecord, RolloutOrder, RolloutRecord};
 
 /// The maximum number of changes kept for peers.
 ///
@@ -31,6 +31,8 @@
     RolloutOrder(RolloutOrder),
     /// The recorded progress of a rollout order, shared by all nodes.
     RolloutRecord(RolloutRecord),
+    /// The record of a quarantined request, shared by all nodes.
+    Quarantine(QuarantineRecord),
 }
 
 /// The registration by which other nodes find a node.
@@ -62,6 +64,8 @@
     RolloutOrder(EcoString),
     /// The recorded progress of the service's rollout order, by service.
     RolloutRecord(EcoString),
+    /// The record of a quarantined request, by fingerprint.
+    Quarantine(u64),
 }
 
 impl RegistryEntry {
@@ -74,6 +78,7 @@
             Self::Node(node) => RegistryKey::Node(node.member.node.clone()),
             Self::RolloutOrder(order) => RegistryKey::RolloutOrder(order.service.clone()),
             Self::RolloutRecord(record) => RegistryKey::RolloutRecord(record.service.clone()),
+            Self::Quarantine(record) => RegistryKey::Quarantine(record.fingerprint),
         }
     }
 }
--- a/crates/sassafrasproxy-core/src/forward/registry/gossip/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/gossip/mod.rs
@@ -16,7 +16,9 @@
 use sassafrasproxy_wire::{MemberState, MemberUpdate};
 
 use super::broadcast_queue::BroadcastQueue;
-use super::datagram::{DatagramKind, DatagramSender, GossipUpdate, LatestRevision, PeerDatagram};
+use super::datagram::{
+    AnsweredRequest, DatagramKind, DatagramSender, GossipUpdate, LatestRevision, PeerDatagram,
+};
 use super::probe_tracker::ProbeTracker;
 use super::recent_updates::RecentUpdates;
 use super::source_selector::SourceSelector;
@@ -116,6 +118,7 @@
     latest: LatestRevision,
     log_events: Vec<MemberLogEvent>,
     crash_reports: BroadcastQueue<CrashReport>,
+    answered_requests: BroadcastQueue<AnsweredRequest>,
     stopped_rollouts: BroadcastQueue<u64>,
     fleet_work: FleetWork,
     work_meter: WorkMeter,
@@ -148,6 +151,7 @@
             latest: LatestRevision::default(),
             log_events: Vec::new(),
             crash_reports: BroadcastQueue::default(),
+            answered_requests: BroadcastQueue::default(),
             stopped_rollouts: BroadcastQueue::default(),
             fleet_work: FleetWork::default(),
             work_meter: WorkMeter::default(),
@@ -255,6 +259,7 @@
         self.process_sender(now_us, datagram);
         self.fleet_work.record_report(now_us, datagram.work);
         self.crash_reports.enqueue(now_us, &datagram.crash_reports);
+        self.answered_requests.enqueue(now_us, &datagram.answered_requests);
         self.stopped_rollouts.enqueue(now_us, &datagram.stopped_rollouts);
         let mut sends = self.send_urgent(now_us);
         sends.extend(self.reply(now_us, peer_address, datagram));
@@ -324,6 +329,14 @@
         self.notify(now_us, now_us, NOTICE_FANOUT)
     }
 
+    /// Announces to some peers at once that a replica answered a request with crash reports; they
+    /// pass it on.
+    pub fn announce_answer(&mut self, now_us: u64, fingerprint: u64) -> Vec<OutgoingDatagram> {
+        let answer = AnsweredRequest { fingerprint, answer_id: self.rng.random() };
+        self.answered_requests.enqueue(now_us, &[answer]);
+        self.notify(now_us, now_us, NOTICE_FANOUT)
+    }
+
     /// Announces to some peers at once that a rollout was stopped; they pass it on.
     pub fn announce_rollout_stop(
         &mut self,
@@ -584,6 +597,7 @@
             is_store_unavailable: self.is_store_unavailable,
             work: self.fleet_work.report(now_us),
             crash_reports: self.crash_reports.take_batch(now_us),
+            answered_requests: self.answered_requests.take_batch(now_us),
             stopped_rollouts: self.stopped_rollouts.take_batch(now_us),
             trial_reports: Vec::new(),
             digests: None,
--- a/crates/sassafrasproxy-core/src/forward/registry/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/mod.rs
@@ -17,12 +17,13 @@
 mod rollouts;
 mod source_selector;
 mod store_sync;
+mod versioned_entries;
 
 pub use self::catalogue::{Catalogue, CatalogueReplica};
 pub use self::confirmation::AnsweredPoll;
 pub use self::datagram::{
-    CompactMember, DatagramError, DatagramKind, DatagramSender, GossipUpdate, LatestRevision,
-    MAX_DATAGRAM_BYTES, PeerDatagram,
+    AnsweredRequest, CompactMember, DatagramError, DatagramKind, DatagramSender, GossipUpdate,
+    LatestRevision, MAX_DATAGRAM_BYTES, PeerDatagram,
 };
 pub use self::discovery::{Discovery, DiscoveryEvent, DiscoveryLogEvent};
 pub use self::entries::{NodeRegistration, RegistryChanges, RegistryEntry, RegistryKey};
--- a/crates/sassafrasproxy-core/src/forward/registry/rollouts.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/rollouts.rs
@@ -3,6 +3,7 @@
 use ecow::EcoString;
 use indexmap::{IndexMap, IndexSet};
 
+use super::versioned_entries::VersionedEntries;
 use crate::{
     CatalogueReplica, RegistryEntry, RegistryKey, RolloutOrder, RolloutPhase, RolloutRecord,
     RolloutState, ServiceVersions, TrialGrant, US_PER_MS, VersionReplicas, service_versions,
@@ -21,8 +22,8 @@
 #[derive(Debug, Default)]
 pub struct RolloutEntries {
     participant: Option<RolloutParticipant>,
-    orders: IndexMap<EcoString, Versioned<RolloutOrder>>,
-    records: IndexMap<EcoString, Versioned<RolloutRecord>>,
+    orders: VersionedEntries<EcoString, RolloutOrder>,
+    records: VersionedEntries<EcoString, RolloutRecord>,
     /// The store's revisions of orders that were stopped, possibly before their record shows it.
     stopped_orders: IndexSet<u64>,
     /// The store's revision of the first list that this process received, or of the first entries
@@ -30,15 +31,6 @@
     initial_revision: Option<u64>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
-struct Versioned<T> {
-    value: T,
-    /// The store's revision of the entry.
-    revision: u64,
-    /// Whether the current or last list of the store contains the entry.
-    is_listed: bool,
-}
-
 impl RolloutEntries {
     /// Creates an empty state.
     pub fn new(participant: Option<RolloutParticipant>) -> Self {
@@ -53,22 +45,22 @@
 
     /// Applies an order; returns whether it is newer than the known one.
     pub fn apply_order(&mut self, order: RolloutOrder, revision: u64) -> bool {
-        upsert_if_newer(&mut self.orders, order.service.clone(), order, revision)
+        self.orders.upsert_if_newer(order.service.clone(), order, revision)
     }
 
     /// Applies a record; returns whether it is newer than the known one.
     pub fn apply_record(&mut self, record: RolloutRecord, revision: u64) -> bool {
-        upsert_if_newer(&mut self.records, record.service.clone(), record, revision)
+        self.records.upsert_if_newer(record.service.clone(), record, revision)
     }
 
     /// Removes an order that was withdrawn at a revision; returns whether one was removed.
     pub fn remove_order(&mut self, service: &EcoString, revision: u64) -> bool {
-        remove_if_older(&mut self.orders, service, revision)
+        self.orders.remove_if_older(service, revision)
     }
 
     /// Removes a record that the store removed at a revision; returns whether one was removed.
     pub fn remove_record(&mut self, service: &EcoString, revision: u64) -> bool {
-        remove_if_older(&mut self.records, service, revision)
+        self.records.remove_if_older(service, revision)
     }
 
     /// Records that an order was stopped; returns whether this was not recorded before.
@@ -78,16 +70,14 @@
 
     /// Starts a list of the store: marks all entries as not listed.
     pub fn start_list(&mut self) {
-        self.orders.values_mut().for_each(|known| known.is_listed = false);
-        self.records.values_mut().for_each(|known| known.is_listed = false);
+        self.orders.start_list();
+        self.records.start_list();
     }
 
     /// Returns the keys of the entries that the list did not contain.
     pub fn unlisted(&self) -> Vec<RegistryKey> {
-        let orders = self.orders.iter().filter(|(_, known)| !known.is_listed);
-        let records = self.records.iter().filter(|(_, known)| !known.is_listed);
-        let orders = orders.map(|(service, _)| RegistryKey::RolloutOrder(service.clone()));
-        let records = records.map(|(service, _)| RegistryKey::RolloutRecord(service.clone()));
+        let orders = self.orders.unlisted().cloned().map(RegistryKey::RolloutOrder);
+        let records = self.records.unlisted().cloned().map(RegistryKey::RolloutRecord);
         orders.chain(records).collect()
     }
 
@@ -98,12 +88,12 @@
 
     /// Returns all known entries, each with its revision.
     pub fn entries(&self) -> impl Iterator<Item = (RegistryEntry, u64)> {
-        let orders = self.orders.values();
-        let orders =
-            orders.map(|known| (RegistryEntry::RolloutOrder(known.value.clone()), known.revision));
-        let records = self.records.values();
+        let orders = self.orders.iter();
+        let orders = orders
+            .map(|(_, known)| (RegistryEntry::RolloutOrder(known.value.clone()), known.revision));
+        let records = self.records.iter();
         let records = records
-            .map(|known| (RegistryEntry::RolloutRecord(known.value.clone()), known.revision));
+            .map(|(_, known)| (RegistryEntry::RolloutRecord(known.value.clone()), known.revision));
         orders.chain(records)
     }
 
@@ -151,8 +141,12 @@
         if self.participant.is_none() || (self.orders.is_empty() && self.records.is_empty()) {
             return Vec::new();
         }
-        let services: IndexSet<&EcoString> =
-            self.orders.keys().chain(self.records.keys()).collect();
+        let services: IndexSet<&EcoString> = self
+            .orders
+            .iter()
+            .map(|(service, _)| service)
+            .chain(self.records.iter().map(|(service, _)| service))
+            .collect();
         let states = services.into_iter().map(|service| {
             let of_service = replicas.values().filter(|replica| replica.entry.service == *service);
             let listed =
@@ -185,7 +179,8 @@
         replicas: &IndexMap<EcoString, CatalogueReplica>,
     ) -> IndexMap<EcoString, ServiceVersions> {
         let mut first_versions: IndexMap<&EcoString, &EcoString> = IndexMap::new();
-        let mut services: IndexSet<&EcoString> = self.records.keys().collect();
+        let mut services: IndexSet<&EcoString> =
+            self.records.iter().map(|(service, _)| service).collect();
         for replica in replicas.values() {
             let (service, version) = (&replica.entry.service, &replica.entry.version);
             if *first_versions.entry(service).or_insert(version) != version {
@@ -240,31 +235,3 @@
         })
     }
 }
-
-/// Inserts an entry, or marks the known one as listed if its revision is the same or newer; returns
-/// whether the entry was inserted.
-fn upsert_if_newer<T: PartialEq>(
-    entries: &mut IndexMap<EcoString, Versioned<T>>,
-    service: EcoString,
-    value: T,
-    revision: u64,
-) -> bool {
-    if let Some(known) = entries.get_mut(&service)
-        && revision <= known.revision
-    {
-        known.is_listed = true;
-        return false;
-    }
-    entries.insert(service, Versioned { value, revision, is_listed: true });
-    true
-}
-
-/// Removes an entry unless it is newer than `revision`; returns whether one was removed.
-fn remove_if_older<T>(
-    entries: &mut IndexMap<EcoString, Versioned<T>>,
-    service: &EcoString,
-    revision: u64,
-) -> bool {
-    let is_older = entries.get(service).is_some_and(|known| known.revision <= revision);
-    is_older && entries.shift_remove(service).is_some()
-}
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -18,6 +18,7 @@
 use crate::confirmation::key_freshness;
 use crate::listener::FirstRequest;
 use crate::metrics::{AnswerLabels, RouteLabel};
+use crate::quarantine::QuarantineAdmission;
 use crate::rate_limits::{RateAdmission, RequestToken, TokenTurn, admit};
 use crate::request::{CallerRequest, RequestAccount};
 use crate::traffic::TrafficState;
@@ -29,10 +30,6 @@
 /// available again, it takes about this long.
 const NO_CONFIGURATION_RETRY_MS: u64 = 200;
 
-/// The retry delay for a quarantined request, in milliseconds: the time after which the crash
-/// reports on it have expired.
-const QUARANTINE_RETRY_MS: u64 = 30_000;
-
 /// Serves one request of a caller; every failure becomes an answer.
 pub async fn serve(
     traffic: Rc<TrafficState>,
@@ -48,12 +45,12 @@
                     traffic.configuration_needed.send_replace(true);
                     Some(NO_CONFIGURATION_RETRY_MS)
                 }
-                Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
                 // A retry would not help, or the delay is already in the answer.
                 Refusal::BadRequest
                 | Refusal::NoRoute
                 | Refusal::UnknownKey
                 | Refusal::OverRateLimit
+                | Refusal::Quarantined
                 | Refusal::KeyMaybeNew
                 | Refusal::KeyMaybeRemoved
                 | Refusal::TooLarge
@@ -100,15 +97,24 @@
     let AdmittedCaller { version, route, account, token, elapsed_us } = caller;
     let request = CallerRequest::new(head, account, token, parts, body, arrived_us, elapsed_us);
     let request = Rc::new(request);
-    if traffic.is_quarantined(&request) {
-        let (fingerprint, request) = (request.fingerprint, &request.attempt_id);
-        log::info!(
-            request:%, route:% = route.name, fingerprint;
-            "refused a quarantined request that crashes replicas"
-        );
-        return Err(Refusal::Quarantined);
+    match traffic.quarantine.admit(&request).await {
+        QuarantineAdmission::Admitted => {}
+        QuarantineAdmission::Trial => request.is_trial.set(true),
+        QuarantineAdmission::Refused { retry_after_ms } => {
+            let (fingerprint, request) = (request.fingerprint, &request.attempt_id);
+            log::info!(
+                request:%, route:% = route.name, fingerprint, retry_after_ms;
+                "refused a quarantined request that crashes replicas"
+            );
+            let refusal = Refusal::Quarantined;
+            return Ok(refusal_answer(&traffic.metrics, refusal, Some(retry_after_ms)));
+        }
+    }
+    let answer = serve_route(traffic, &request, &route).await;
+    if request.is_trial.get() {
+        traffic.quarantine.finish_trial(&request);
     }
-    let answer = serve_route(traffic, &request, &route).await?;
+    let answer = answer?;
     record_answer(traffic, &request, &route, version, &answer);
     Ok(answer)
 }
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -9,7 +9,7 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CrashReport, DatagramKind, DirectoryNode, Discovery, DiscoveryEvent, DiscoveryLogEvent, Gossip,
+    DatagramKind, DirectoryNode, Discovery, DiscoveryEvent, DiscoveryLogEvent, Gossip,
     GossipPolicy, MemberLogEvent, RolloutCoordinator, RolloutLogEvent, RolloutParticipant,
     RolloutPhase, TrialCount, TrialReport, ingress_nodes,
 };
@@ -22,12 +22,12 @@
 
 use crate::confirmation::{ViewConfirmation, key_freshness};
 use crate::metrics::{GatewayMetrics, KindLabel};
-use crate::peer_gossip::PeerCrashReport;
 use crate::peer_sync::{pull_during_outage, serve_updates};
+use crate::quarantine::{CrashNotice, PeerCrashNotice, QuarantineWriteCall};
 use crate::registration::keep_registered;
 use crate::store_follower::follow_store;
 use crate::view::GatewayView;
-use crate::{peer_gossip, reload, rollouts};
+use crate::{peer_gossip, quarantine_store, reload, rollouts};
 
 /// The timeout of a call to the store or a peer; a long poll adds its wait time.
 ///
@@ -70,10 +70,12 @@
     pub leaving: watch::Receiver<bool>,
     /// Becomes true when a caller was refused because this node has no configuration yet.
     pub configuration_needed: watch::Receiver<bool>,
-    /// Crash reports from the traffic thread.
-    pub local_crashes: mpsc::UnboundedReceiver<CrashReport>,
-    /// Passes crash reports from peers to the traffic thread.
-    pub peer_crashes: mpsc::UnboundedSender<PeerCrashReport>,
+    /// Notices of requests that may crash replicas, from the traffic thread.
+    pub local_crashes: mpsc::UnboundedReceiver<CrashNotice>,
+    /// Passes such notices from peers to the traffic thread.
+    pub peer_crashes: mpsc::UnboundedSender<PeerCrashNotice>,
+    /// Writes of quarantine records from the traffic thread.
+    pub quarantine_writes: mpsc::UnboundedReceiver<QuarantineWriteCall>,
     /// Trial reports from the traffic thread.
     pub local_trials: mpsc::UnboundedReceiver<Vec<TrialReport>>,
 }
@@ -144,6 +146,7 @@
             from_peers: setup.peer_crashes,
         };
         let (stopped_orders_sender, stopped_orders) = mpsc::unbounded_channel();
+        spawn_local(quarantine_store::run(state.clone(), setup.quarantine_writes));
         spawn_local(rollouts::run_coordinator(state.clone(), stopped_orders_sender));
         let trials =
             peer_gossip::TrialChannels { local_reports: setup.local_trials, stopped_orders };
@@ -416,7 +419,9 @@
             | DiscoveryLogEvent::DomainChanged { .. }
             | DiscoveryLogEvent::RolloutOrderChanged { .. }
             | DiscoveryLogEvent::RolloutAdvanced { .. }
-            | DiscoveryLogEvent::RolloutStopped { .. } => 0,
+            | DiscoveryLogEvent::RolloutStopped { .. }
+            | DiscoveryLogEvent::QuarantineRecorded { .. }
+            | DiscoveryLogEvent::QuarantineRemoved { .. } => 0,
         };
         if count <= MAX_LOG_LINES {
             log_discovery_event(log_event, store_revision);
@@ -489,5 +494,11 @@
         DiscoveryLogEvent::RolloutStopped { order_revision } => {
             log::warn!(order_revision, store_revision; "a rollout was stopped");
         }
+        DiscoveryLogEvent::QuarantineRecorded { fingerprint, trials } => {
+            log::info!(fingerprint, trials, store_revision; "the store has a quarantine record");
+        }
+        DiscoveryLogEvent::QuarantineRemoved { fingerprint } => {
+            log::info!(fingerprint, store_revision; "a quarantine record was removed");
+        }
     }
 }
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::control::{self, ControlSetup};
 use crate::listener::{self, ConnectionLimits};
 use crate::metrics::GatewayMetrics;
+use crate::quarantine::Quarantine;
 use crate::traffic::TrafficState;
 use crate::view::GatewayView;
 use crate::{admission, caller_server, directory, relay_server};
@@ -110,6 +111,7 @@
         let (configuration_needed_sender, configuration_needed) = watch::channel(false);
         let (local_crashes_sender, local_crashes) = mpsc::unbounded_channel();
         let (peer_crashes_sender, peer_crashes) = mpsc::unbounded_channel();
+        let (quarantine_write_sender, quarantine_writes) = mpsc::unbounded_channel();
         let (local_trials_sender, local_trials) = mpsc::unbounded_channel();
         let (settings, settings_changes) = watch::channel(self.settings.clone());
         let confirmation = ViewConfirmation::default();
@@ -125,6 +127,7 @@
             metrics: metrics_values.clone(),
             local_crashes,
             peer_crashes: peer_crashes_sender,
+            quarantine_writes,
             local_trials,
             view: view_sender,
             confirmation: confirmation.clone(),
@@ -141,15 +144,21 @@
             let traffic = Rc::new(TrafficState::new(
                 clock,
                 self.settings,
-                metrics_values,
+                metrics_values.clone(),
                 address,
-                local_crashes_sender,
+                Rc::new(Quarantine::new(
+                    clock,
+                    metrics_values,
+                    local_crashes_sender,
+                    quarantine_write_sender,
+                )),
                 configuration_needed_sender,
                 confirmation,
             ));
             spawn_local(traffic.clone().follow_views(views));
             spawn_local(traffic.clone().follow_settings(settings_changes));
-            spawn_local(traffic.clone().follow_crashes(peer_crashes));
+            spawn_local(traffic.quarantine.clone().follow_peers(peer_crashes));
+            spawn_local(traffic.quarantine.clone().write_when_due());
             spawn_local(traffic.clone().report_trials(local_trials_sender));
             spawn_local(admission::decide_when_due(traffic.clone()));
             spawn_local(admission::measure_lateness(traffic.clone()));
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -58,6 +58,8 @@
     route: &'a Route,
     fetch_plan: FetchPlan,
     plan: GatherPlan,
+    /// The minimum number of parts in an answer; more than the plan waits for if this is a trial.
+    required_parts: usize,
     shards: Vec<Shard>,
     /// The received batches, also those that a relay reply has replaced.
     ///
@@ -108,7 +110,10 @@
             return admission::build_refusal(traffic, &request, route, &replicas, refusal);
         }
     };
-    let excluded = choose_excluded_shards(traffic, &request, route, target);
+    let excluded = match request.is_trial.get() {
+        true => all_shards_but_one(target.services.len()),
+        false => choose_excluded_shards(traffic, &request, route, target),
+    };
     let (event_sender, mut events) = mpsc::unbounded_channel();
     let mut query = GatherQuery::new(traffic, request, route, target, event_sender);
     query.exclude_shards(excluded);
@@ -116,7 +121,8 @@
     loop {
         let now_us = traffic.clock.now_us();
         match query.next_step(now_us) {
-            GatherStep::Answer => return query.into_answer(),
+            GatherStep::Answer if query.has_enough_parts() => return query.into_answer(),
+            GatherStep::Answer => return query.into_refusal(now_us, &replicas),
             GatherStep::GiveUp => return query.into_refusal(now_us, &replicas),
             GatherStep::Wait { until_us } => wake_us = wake_us.min(until_us),
         }
@@ -138,6 +144,12 @@
     }
 }
 
+/// Returns all shards but a random one, to which the trial of a quarantined query is sent.
+fn all_shards_but_one(shards: usize) -> Vec<usize> {
+    let kept = rand::random_range(0..shards.max(1));
+    (0..shards).filter(|shard| *shard != kept).collect()
+}
+
 /// Returns the shards to exclude, so that their slow replicas serve queries that need them more.
 ///
 /// If the query needs a shard with only slow replicas, it reserves the replicas of all such shards.
@@ -172,9 +184,11 @@
         let caller_round_trip_us = traffic.caller_delays.borrow().round_trip_us();
         let shards = target.services.len();
         let goal_us = route.goal_ms * US_PER_MS;
+        let required_parts = GatherPlan::min_parts(shards, target.min_coverage);
         let plan = GatherPlan {
             shards,
-            min_parts: GatherPlan::min_parts(shards, target.min_coverage),
+            // A trial waits for its only part, although that makes no answer.
+            min_parts: if request.is_trial.get() { 1 } else { required_parts },
             soft_deadline_us: GatherPlan::soft_deadline_us(
                 request.started_us(),
                 goal_us,
@@ -196,6 +210,7 @@
             request,
             route,
             plan,
+            required_parts,
             shards,
             batches: Vec::new(),
             sends: SendTasks::default(),
@@ -212,14 +227,20 @@
     }
 
     fn next_step(&self, now_us: u64) -> GatherStep {
-        let count = |predicate: fn(&ShardState) -> bool| {
-            self.shards.iter().filter(|shard| predicate(&shard.state)).count()
-        };
-        let parts = count(|state| matches!(state, ShardState::Received(_)));
-        let pending = count(|state| matches!(state, ShardState::Pending));
+        let parts = self.count_shards(|state| matches!(state, ShardState::Received(_)));
+        let pending = self.count_shards(|state| matches!(state, ShardState::Pending));
         next_gather_step(now_us, &self.plan, parts, pending)
     }
 
+    fn has_enough_parts(&self) -> bool {
+        let parts = self.count_shards(|state| matches!(state, ShardState::Received(_)));
+        parts >= self.required_parts
+    }
+
+    fn count_shards(&self, predicate: fn(&ShardState) -> bool) -> usize {
+        self.shards.iter().filter(|shard| predicate(&shard.state)).count()
+    }
+
     /// Advances every shard, then makes the deferred sends.
     ///
     /// Returns the time at which to advance the first of them again, in microseconds.
@@ -243,6 +264,7 @@
                 let mut budget = traffic.retry_budget.borrow_mut();
                 let now_us = traffic.clock.now_us();
                 self.fetch_plan.extra_sends = traffic.admission.extra_sends(now_us);
+                traffic.limit_attempts(&self.request, &mut self.fetch_plan);
                 shard.fetch.next(now_us, &self.fetch_plan, &mut pool, &mut budget)
             };
             match step {
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -17,6 +17,8 @@
 mod metrics;
 mod peer_gossip;
 mod peer_sync;
+mod quarantine;
+mod quarantine_store;
 mod rate_limits;
 mod registration;
 mod relay_call;
--- a/crates/sassafrasproxy-gateway/src/peer_gossip.rs
+++ b/crates/sassafrasproxy-gateway/src/peer_gossip.rs
@@ -4,33 +4,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ecow::{EcoString, eco_format};
+use ecow::eco_format;
 use sassafrasproxy_core::{
-    CrashReport, DiscoveryEvent, GossipPolicy, MAX_DATAGRAM_BYTES, OutgoingDatagram, PeerDatagram,
-    TrialReport,
+    DiscoveryEvent, GossipPolicy, MAX_DATAGRAM_BYTES, OutgoingDatagram, PeerDatagram, TrialReport,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::control::ControlState;
+use crate::quarantine::{CrashNotice, PeerCrashNotice};
 use crate::rollouts;
 
-/// The channels for reports of replicas that crashed on a request.
+/// The channels for notices of requests that may crash replicas.
 pub struct CrashChannels {
-    /// Reports from the traffic thread.
-    pub local: mpsc::UnboundedReceiver<CrashReport>,
-    /// Passes reports from peers to the traffic thread.
-    pub from_peers: mpsc::UnboundedSender<PeerCrashReport>,
-}
-
-/// A crash report and the peer that passed it on.
-#[derive(Debug)]
-pub struct PeerCrashReport {
-    /// The name of the peer, which may have got the report from another.
-    pub peer: EcoString,
-    /// The report.
-    pub report: CrashReport,
+    /// Notices from the traffic thread.
+    pub local: mpsc::UnboundedReceiver<CrashNotice>,
+    /// Passes notices from peers to the traffic thread.
+    pub from_peers: mpsc::UnboundedSender<PeerCrashNotice>,
 }
 
 /// The channels for the trial reports and stopped rollouts that are sent to peers.
@@ -72,8 +63,14 @@
                     Vec::new()
                 }
             },
-            Some(report) = crashes.local.recv() => {
-                state.gossip.borrow_mut().report_crash(now_us, report)
+            Some(notice) = crashes.local.recv() => {
+                let mut gossip = state.gossip.borrow_mut();
+                match notice {
+                    CrashNotice::Crashed(report) => gossip.report_crash(now_us, report),
+                    CrashNotice::Answered(fingerprint) => {
+                        gossip.announce_answer(now_us, fingerprint)
+                    }
+                }
             }
             Some(reports) = trials.local_reports.recv() => rollouts::report_local_trials(&state, reports),
             Some(order_revision) = trials.stopped_orders.recv() => {
@@ -93,7 +90,7 @@
     state: &ControlState,
     bytes: &[u8],
     from: SocketAddr,
-    crashes: &mpsc::UnboundedSender<PeerCrashReport>,
+    crashes: &mpsc::UnboundedSender<PeerCrashNotice>,
 ) -> Vec<OutgoingDatagram> {
     let datagram = match PeerDatagram::decode(bytes) {
         Ok(datagram) => datagram,
@@ -102,10 +99,13 @@
             return Vec::new();
         }
     };
-    for &report in &datagram.crash_reports {
+    let reports = datagram.crash_reports.iter().map(|report| CrashNotice::Crashed(*report));
+    let answers = datagram.answered_requests.iter();
+    let answers = answers.map(|answer| CrashNotice::Answered(answer.fingerprint));
+    for notice in reports.chain(answers) {
         let peer = datagram.sender.node.clone();
         // Fails only if the traffic thread has ended; the process is exiting then.
-        let _ = crashes.send(PeerCrashReport { peer, report });
+        let _ = crashes.send(PeerCrashNotice { peer, notice });
     }
     rollouts::record_peer_trials(state, &datagram.sender.node, &datagram.trial_reports);
     for &order_revision in &datagram.stopped_rollouts {
--- /dev/null
+++ b/crates/sassafrasproxy-gateway/src/quarantine_store.rs
@@ -0,0 +1,110 @@
+//! Writes the records of quarantined requests to the store.
+
+use std::rc::Rc;
+
+use sassafrasproxy_core::{MAX_QUARANTINE_RECORDS, QuarantineRecord, QuarantineWrite};
+use sassafrasproxy_platform::{
+    StoreError, StoreRequest, decode_write_status, quarantine_record_key,
+};
+use tokio::sync::mpsc;
+
+use crate::control::{CALL_TIMEOUT, ControlState};
+use crate::http_client::PersistentClient;
+use crate::quarantine::QuarantineWriteCall;
+
+/// Writes records for as long as the process runs.
+///
+/// A write without an answer may have been applied. The traffic thread asks for it again until the
+/// store shows the record.
+pub async fn run(state: Rc<ControlState>, mut calls: mpsc::UnboundedReceiver<QuarantineWriteCall>) {
+    let mut client = PersistentClient::new(state.settings().store);
+    while let Some(QuarantineWriteCall { write, is_accepted }) = calls.recv().await {
+        if is_accepted.as_ref().is_some_and(tokio::sync::oneshot::Sender::is_closed) {
+            continue;
+        }
+        let accepted = carry_out(&state, &mut client, write).await;
+        if let Some(is_accepted) = is_accepted {
+            // The receiver is gone if its request has stopped waiting.
+            let _ = is_accepted.send(accepted);
+        }
+    }
+}
+
+/// Carries out a write; returns whether the store accepted it.
+async fn carry_out(
+    state: &ControlState,
+    client: &mut PersistentClient,
+    write: QuarantineWrite,
+) -> bool {
+    match write {
+        QuarantineWrite::Create(record) => {
+            let records = state.discovery.borrow_mut().quarantines();
+            if records.contains_key(&record.fingerprint) {
+                return true;
+            }
+            if records.len() >= MAX_QUARANTINE_RECORDS
+                && let Some((oldest, revision)) = records.values().min_by_key(|(_, at)| *at)
+            {
+                remove(state, client, oldest.fingerprint, *revision).await;
+            }
+            put(state, client, record, 0).await
+        }
+        QuarantineWrite::Replace { record, revision } => put(state, client, record, revision).await,
+        QuarantineWrite::Remove { fingerprint, revision } => {
+            remove(state, client, fingerprint, revision).await
+        }
+    }
+}
+
+async fn put(
+    state: &ControlState,
+    client: &mut PersistentClient,
+    record: QuarantineRecord,
+    expected_revision: u64,
+) -> bool {
+    let value = match serde_json::to_vec(&record) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(error:%; "cannot encode a quarantine record");
+            return false;
+        }
+    };
+    let values = [(quarantine_record_key(record.fingerprint), value)];
+    let request = StoreRequest::put_if_revision(expected_revision, &values);
+    call(state, client, request, record.fingerprint).await
+}
+
+async fn remove(
+    state: &ControlState,
+    client: &mut PersistentClient,
+    fingerprint: u64,
+    revision: u64,
+) -> bool {
+    let key = quarantine_record_key(fingerprint);
+    call(state, client, StoreRequest::remove_if_revision(revision, &key), fingerprint).await
+}
+
+async fn call(
+    state: &ControlState,
+    client: &mut PersistentClient,
+    request: StoreRequest,
+    fingerprint: u64,
+) -> bool {
+    let result = client.call(request, CALL_TIMEOUT).await;
+    let result = result.and_then(|(status, _)| decode_write_status(status));
+    state.count_store_call("quarantine", result.as_ref().err());
+    match result {
+        Ok(()) => return true,
+        Err(StoreError::Conflict) => {
+            log::info!(fingerprint; "a quarantine record was not written: another node was first");
+        }
+        Err(error) => {
+            client.disconnect();
+            log::warn!(
+                fingerprint, error:%;
+                "writing a quarantine record failed or was not confirmed"
+            );
+        }
+    }
+    false
+}
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -1,5 +1,6 @@
 //! Serves relay calls: sends to replicas near this node on behalf of another gateway node.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -230,6 +231,8 @@
         deadline_us: arrived_us + call.remaining_us,
         elapsed_before_arrival_us: 0,
         fingerprint: call.fingerprint,
+        is_trial: Cell::new(false),
+        may_have_run: Cell::new(false),
     })
 }
 
--- a/crates/sassafrasproxy-gateway/src/request.rs
+++ b/crates/sassafrasproxy-gateway/src/request.rs
@@ -1,11 +1,12 @@
 //! Holds a caller's request and computes its deadlines.
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use ecow::EcoString;
 use http::{HeaderMap, Method, Uri};
-use sassafrasproxy_core::{CrashReport, US_PER_MS};
+use sassafrasproxy_core::{CrashReport, SendResult, US_PER_MS};
 use sassafrasproxy_platform::{CallerHead, is_forwarded, replace_credentials};
 use sassafrasproxy_wire::{ClientAccount, Route};
 
@@ -44,6 +45,10 @@
     pub elapsed_before_arrival_us: u64,
     /// The hash of the request's host, method, path and body.
     pub fingerprint: u64,
+    /// Whether this is the trial of a quarantined request, which is sent once.
+    pub is_trial: Cell<bool>,
+    /// Whether a replica has run the request, or may have.
+    pub may_have_run: Cell<bool>,
 }
 
 /// The client account that a request belongs to.
@@ -109,6 +114,8 @@
             deadline_us,
             elapsed_before_arrival_us,
             fingerprint,
+            is_trial: Cell::new(false),
+            may_have_run: Cell::new(false),
         }
     }
 
@@ -119,6 +126,14 @@
         }
     }
 
+    /// Records the result of a send of the request.
+    pub fn record_result(&self, result: SendResult) {
+        match result {
+            SendResult::Answered | SendResult::MayHaveRun => self.may_have_run.set(true),
+            SendResult::NotRun | SendResult::Unsent => {}
+        }
+    }
+
     /// Returns the priority of the request: that of its client account, if it has one, or else that of
     /// its route. 0 is the most urgent.
     pub fn priority(&self, route: &Route) -> u32 {
--- a/crates/sassafrasproxy-gateway/src/single_replica.rs
+++ b/crates/sassafrasproxy-gateway/src/single_replica.rs
@@ -52,6 +52,7 @@
             return build_timeout_answer(traffic, &fetch, failure_answer);
         }
         plan.extra_sends = traffic.admission.extra_sends(now_us);
+        traffic.limit_attempts(&request, &mut plan);
         let step = {
             let (mut pool, mut budget) =
                 (traffic.pool.borrow_mut(), traffic.retry_budget.borrow_mut());
--- a/crates/sassafrasproxy-gateway/src/store_events.rs
+++ b/crates/sassafrasproxy-gateway/src/store_events.rs
@@ -1,7 +1,9 @@
 //! Decodes items and changes of the store into discovery events.
 
 use ecow::EcoString;
-use sassafrasproxy_core::{DiscoveryEvent, RegistryEntry, RegistryKey, RolloutOrder};
+use sassafrasproxy_core::{
+    DiscoveryEvent, QuarantineRecord, RegistryEntry, RegistryKey, RolloutOrder,
+};
 use sassafrasproxy_platform::{
     DecodeError, StoreChange, StoreItem, StoreKey, decode_configuration, decode_replica,
     decode_rollout_order,
@@ -52,11 +54,19 @@
         StoreKey::RolloutRecord(service) => {
             decode_node_record(service, value).map(RegistryEntry::RolloutRecord)
         }
+        StoreKey::QuarantineRecord(fingerprint) => {
+            let name = ecow::eco_format!("{fingerprint:016x}");
+            let record = decode_node_record::<QuarantineRecord>(&name, value);
+            // A record under another request's key would never be found again.
+            let record = record.filter(|record| record.fingerprint == *fingerprint);
+            record.map(RegistryEntry::Quarantine)
+        }
         StoreKey::Unrecognized => None,
     })
 }
 
-/// Decodes an entry that nodes write themselves: a node registration or a rollout record.
+/// Decodes an entry that nodes write themselves: a node registration, a rollout record or a
+/// quarantine record.
 ///
 /// Returns `None` for one that cannot be decoded.
 fn decode_node_record<T: DeserializeOwned>(name: &EcoString, value: &[u8]) -> Option<T> {
@@ -65,7 +75,7 @@
         Err(error) => {
             log::warn!(
                 name:%, error:%;
-                "ignored a node registration or rollout record that cannot be decoded"
+                "ignored an entry of a node that cannot be decoded"
             );
             None
         }
@@ -89,6 +99,7 @@
         StoreKey::Node(name) => Some(RegistryKey::Node(name)),
         StoreKey::RolloutOrder(service) => Some(RegistryKey::RolloutOrder(service)),
         StoreKey::RolloutRecord(service) => Some(RegistryKey::RolloutRecord(service)),
+        StoreKey::QuarantineRecord(fingerprint) => Some(RegistryKey::Quarantine(fingerprint)),
         StoreKey::Unrecognized => None,
     }
 }
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -10,10 +10,10 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CallerDelayEstimator, Catalogue, CrashReport, Fanout, FetchPlan, PoolSettings, PreconnectStep,
-    Preconnector, ReportThrottle, RequestQuarantine, RetryBudget, RetryBudgetPolicy,
-    RouteLatencies, SendCause, SendTiming, TrialReport, US_PER_MS, UpstreamPool,
-    WeightedRoundRobin, budget_shares, directory_addresses, ingress_nodes, route_class,
+    CallerDelayEstimator, Catalogue, Fanout, FetchPlan, PoolSettings, PreconnectStep, Preconnector,
+    ReportThrottle, RetryBudget, RetryBudgetPolicy, RouteLatencies, SendCause, SendTiming,
+    TrialReport, US_PER_MS, UpstreamPool, WeightedRoundRobin, budget_shares, directory_addresses,
+    ingress_nodes, route_class,
 };
 use sassafrasproxy_wire::{ReplicaEntry, Route, RouteTarget, WeightedService};
 use tokio::sync::{Notify, mpsc, watch};
@@ -24,7 +24,7 @@
 use crate::confirmation::ViewConfirmation;
 use crate::connection_pool::{ConnectionPool, UpstreamConnection, connect};
 use crate::metrics::{GatewayMetrics, KindLabel};
-use crate::peer_gossip::PeerCrashReport;
+use crate::quarantine::Quarantine;
 use crate::rate_limits::RateLimits;
 use crate::relay_pool::RelayPool;
 use crate::request::CallerRequest;
@@ -59,13 +59,12 @@
     /// The rate limits of client accounts; `None` if they are not enforced here.
     pub rate_limits: Option<Rc<RateLimits>>,
     pub caller_delays: RefCell<CallerDelayEstimator>,
-    request_quarantine: RefCell<RequestQuarantine>,
+    /// The requests that crash replicas.
+    pub quarantine: Rc<Quarantine>,
     /// Decides which requests are started.
     pub admission: AdmissionQueue,
     /// Set to true when a caller is refused because no configuration is known yet.
     pub configuration_needed: watch::Sender<bool>,
-    /// Passes the crashes that this thread detects to the control thread, which sends them to peers.
-    crash_reports: mpsc::UnboundedSender<CrashReport>,
     route_latencies: RefCell<IndexMap<EcoString, RouteLatencies>>,
     split_round_robins: RefCell<IndexMap<EcoString, WeightedRoundRobin>>,
     /// Notified when this node takes part in the trial of a version.
@@ -99,7 +98,7 @@
         settings: Arc<GatewaySettings>,
         metrics: Arc<GatewayMetrics>,
         callers_address: EcoString,
-        crash_reports: mpsc::UnboundedSender<CrashReport>,
+        quarantine: Rc<Quarantine>,
         configuration_needed: watch::Sender<bool>,
         confirmation: ViewConfirmation,
     ) -> Self {
@@ -121,8 +120,7 @@
             preconnects: RefCell::default(),
             metrics,
             caller_delays: RefCell::default(),
-            request_quarantine: RefCell::default(),
-            crash_reports,
+            quarantine,
             route_latencies: RefCell::default(),
             split_round_robins: RefCell::default(),
             trial_started: Notify::new(),
@@ -171,18 +169,6 @@
         }
     }
 
-    /// Records the crash reports of peers until the control thread ends.
-    pub async fn follow_crashes(
-        self: Rc<Self>,
-        mut reports: mpsc::UnboundedReceiver<PeerCrashReport>,
-    ) {
-        while let Some(PeerCrashReport { peer, report }) = reports.recv().await {
-            if self.add_crash_report(report) {
-                self.log_crash_report(&peer, report);
-            }
-        }
-    }
-
     /// Sends trial reports to the control thread until that thread ends.
     pub async fn report_trials(self: Rc<Self>, sender: mpsc::UnboundedSender<Vec<TrialReport>>) {
         let mut throttle = ReportThrottle::default();
@@ -200,47 +186,6 @@
         }
     }
 
-    /// Records that a replica crashed while it ran a request; a new report also goes to the peers.
-    pub fn record_crash(&self, report: CrashReport) {
-        if self.add_crash_report(report) {
-            self.log_crash_report("", report);
-            // The channel is closed if the control thread has ended.
-            let _ = self.crash_reports.send(report);
-        }
-    }
-
-    fn add_crash_report(&self, report: CrashReport) -> bool {
-        let mut quarantine = self.request_quarantine.borrow_mut();
-        let is_new = quarantine.add_report(self.clock.now_us(), report);
-        self.metrics.quarantined_requests.set(quarantine.quarantined_count() as i64);
-        is_new
-    }
-
-    /// Logs a new crash report; `peer` passed it on, or is empty if this node saw the crash.
-    fn log_crash_report(&self, peer: &str, report: CrashReport) {
-        let reports = self.request_quarantine.borrow().report_count(report.fingerprint);
-        let (fingerprint, crash) = (report.fingerprint, report.crash_id);
-        log::info!(fingerprint, crash, peer, reports; "a crash report was added");
-    }
-
-    /// Whether a request has crashed so many replicas that this node must not send it to another.
-    pub fn is_quarantined(&self, request: &CallerRequest) -> bool {
-        let fingerprint = request.fingerprint;
-        let mut quarantine = self.request_quarantine.borrow_mut();
-        let reports = quarantine.report_count(fingerprint);
-        let is_quarantined = quarantine.is_quarantined(self.clock.now_us(), fingerprint);
-        if reports > 0 && !is_quarantined {
-            let request = &request.attempt_id;
-            let current = quarantine.report_count(fingerprint);
-            log::info!(
-                request:%, fingerprint, reports = current, expired = reports - current;
-                "let a request with crash reports through"
-            );
-        }
-        self.metrics.quarantined_requests.set(quarantine.quarantined_count() as i64);
-        is_quarantined
-    }
-
     /// Returns the current settings.
     pub fn settings(&self) -> Arc<GatewaySettings> {
         self.settings.borrow().clone()
@@ -280,6 +225,16 @@
         }
     }
 
+    /// Limits the attempts of a fetch to one if the request is a trial, and to none if it has been
+    /// quarantined since it was admitted.
+    pub fn limit_attempts(&self, request: &CallerRequest, plan: &mut FetchPlan) {
+        if request.is_trial.get() {
+            plan.max_attempts = 1;
+        } else if self.quarantine.stops_sends(request) {
+            plan.max_attempts = 0;
+        }
+    }
+
     /// Counts a send to a replica in the metrics.
     pub fn count_send(&self, cause: SendCause) {
         let kind = match cause {
@@ -336,6 +291,7 @@
         self.metrics.members.set(view.nodes.len() as i64);
         let eligible = catalogue.replicas.values().filter(|replica| replica.is_eligible).count();
         self.metrics.open_replicas.set(eligible as i64);
+        self.quarantine.set_records(&catalogue.quarantines, view.nodes.len());
         self.connections.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.preconnects.borrow_mut().retain(|id| catalogue.replicas.contains_key(id));
         self.view.replace(view);
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -181,9 +181,13 @@
         let guard = SendGuard::new(&traffic, spec.replica.id.clone(), spec.send_id);
         let started_us = traffic.clock.now_us();
         let result = run_send(&traffic, &spec).await;
+        spec.request.record_result(result.send_result());
         if result.send_result() == SendResult::Answered {
             traffic.record_latency(&spec.route, traffic.clock.now_us() - started_us);
         }
+        if let UpstreamResult::Answered(_) = result {
+            traffic.quarantine.record_answer(spec.request.fingerprint);
+        }
         guard.finish(result.outcome(), result.reported_load());
         on_result(result);
     });
@@ -275,7 +279,7 @@
                     request:%, replica:%, fingerprint, error:%;
                     "a replica crashed while it ran a request"
                 );
-                traffic.record_crash(report);
+                traffic.quarantine.record_crash(report);
             }
             Ok(_) | Err(_) => log::info!(
                 request:%, replica:%, fingerprint;
