Count replicas that end silently or inside their answers as crashed

Cause: a crash counted only if the connection broke before the head of the answer. Seen in the log: sends ended as lost or silent, and no line of a crash followed. Now the check for a process that is gone follows a broken answer and a timeout too. All silent replicas of an attempt count once, since a cut link of this node looks the same from here; a busy or paused replica accepts the connection and does not count.

--- a/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
@@ -99,6 +99,18 @@
     repeats.assert_few_reach_replicas(&cluster);
 }
 
+/// Guards against a request whose replicas end in the middle of their answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_in_answers_count() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingInAnswerTo("poison"));
+    let mut repeats = Repeats::new("/desk/poison");
+    for attempt in 0..9 {
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    repeats.assert_few_reach_replicas(&cluster);
+}
+
 /// Repeats the request on three nodes, and then on three that start one after the other.
 async fn assert_started_nodes_know(cluster: &mut Cluster, repeats: &mut Repeats) {
     cluster.set_modes(ReplicaMode::CrashingOn("poison"));
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -257,17 +257,29 @@
         Err(_) => {
             spec.log_failure(&format_args!("no answer within {limit:?}"));
             traffic.connections.borrow_mut().drop_idle(id);
+            check_for_crash(traffic, spec, CrashSign::Silence);
             UpstreamResult::TimedOut
         }
     }
 }
 
-/// Checks whether a replica whose connection broke during a request has crashed, and reports it.
+/// The sign by which a replica may have crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashSign {
+    /// The connection broke before the answer was complete.
+    BrokenConnection,
+    /// No answer arrived before the timeout.
+    Silence,
+}
+
+/// Checks whether a replica that did not answer a request completely has crashed, and reports it.
 ///
-/// An answer that is lost in the network also breaks the connection, but then the replica accepts
-/// new ones. If several replicas run the request at once, their crashes count as one.
-fn check_for_crash(traffic: &Rc<TrafficState>, spec: &SendSpec) {
-    let replica = if spec.is_fan_out { "" } else { spec.replica.id.as_str() };
+/// An answer that is lost in the network also breaks the connection, and a busy replica is silent,
+/// but then the replica accepts new connections. If several replicas run the request at once, their
+/// crashes count as one. So do silent replicas, as a link of this node may be cut.
+fn check_for_crash(traffic: &Rc<TrafficState>, spec: &SendSpec, sign: CrashSign) {
+    let is_single = !spec.is_fan_out && sign == CrashSign::BrokenConnection;
+    let replica = if is_single { spec.replica.id.as_str() } else { "" };
     let report = CrashReport::new(spec.request.fingerprint, &spec.request.attempt_id, replica);
     let (traffic, address) = (traffic.clone(), spec.replica.address);
     let (request, replica) = (spec.request.attempt_id.clone(), spec.replica.id.clone());
@@ -283,7 +295,7 @@
             }
             Ok(_) | Err(_) => log::info!(
                 request:%, replica:%, fingerprint;
-                "a replica whose connection broke still accepts connections"
+                "a replica that did not answer still accepts connections"
             ),
         }
     });
@@ -330,7 +342,7 @@
             if is_unsent {
                 return UpstreamResult::Unsent;
             }
-            check_for_crash(traffic, spec);
+            check_for_crash(traffic, spec, CrashSign::BrokenConnection);
             return UpstreamResult::Lost;
         }
     };
@@ -339,6 +351,7 @@
         Ok(body) => body.to_bytes(),
         Err(error) => {
             spec.log_failure(&format_args!("the connection broke during the answer: {error}"));
+            check_for_crash(traffic, spec, CrashSign::BrokenConnection);
             return UpstreamResult::Lost;
         }
     };
