Quarantine a query that ends many replicas in its second attempt

A query that crashes replicas ended all of them in each of three attempts before it was refused, so that no query was answered for seconds each time.

Cause: all crashes of one attempt count once, since the loss of a failure domain ends many replicas of a query too. But then other replicas of it answer. Now an attempt under which three replicas crashed and none answered counts twice, so the first crash of the second attempt quarantines the query; the loss of a domain alone still does not.

second_attempt_quarantines_query: three attempts reached replicas before, two now. one_trial_for_all_gateways and mended_requests_are_served hold the exit: one send in all from three gateways, and service once replicas are mended.

--- a/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
@@ -4,10 +4,10 @@
 
 mod gateway;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexSet;
-use sassafrasproxy_platform_standin::{ReplicaMode, ReplicaStandIn, send_get};
+use sassafrasproxy_platform_standin::{ReceivedRequest, ReplicaMode, ReplicaStandIn, send_get};
 
 use crate::gateway::{Cluster, HOST, unique_attempt_id};
 
@@ -111,6 +111,68 @@
     repeats.assert_few_reach_replicas(&cluster);
 }
 
+/// Guards against a query that ends all its replicas in each of three attempts before it counts as
+/// their cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_attempt_quarantines_query() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("poison"));
+    let mut repeats = Repeats::new("/all/poison");
+    for attempt in 0..6 {
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    let reached = repeats.received(&cluster).into_iter().map(|request| request.attempt_id);
+    assert_eq!(reached.collect::<IndexSet<_>>().len(), 2);
+}
+
+/// Guards against a quarantine that every node tries at once, and against a query whose trial ends a
+/// replica of each shard.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_trial_for_all_gateways() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("poison"));
+    let mut repeats = Repeats::new("/all/poison");
+    for attempt in 0..4 {
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    let before = repeats.received(&cluster).len();
+    let end = Instant::now() + TIME_WITH_TRIAL;
+    while Instant::now() < end {
+        for gateway in 0..3 {
+            repeats.ask(&cluster, gateway).await;
+        }
+    }
+    assert_eq!(repeats.received(&cluster).len() - before, 1, "sends of the trial");
+}
+
+/// Guards against a request that stays refused although the replicas have been mended.
+#[tokio::test(flavor = "multi_thread")]
+async fn mended_requests_are_served() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("poison"));
+    let paths = ["/desk/poison", "/all/poison"];
+    let mut repeats = paths.map(Repeats::new);
+    for attempt in 0..4 {
+        for repeats in &mut repeats {
+            repeats.ask(&cluster, attempt % 3).await;
+        }
+    }
+    cluster.set_modes(ReplicaMode::Answering(0));
+    for path in paths {
+        assert_eq!(cluster.ask(0, path).await.status, 503, "{path}");
+    }
+    let end = Instant::now() + TIME_WITH_TRIAL;
+    for path in paths {
+        while cluster.ask(1, path).await.status != 200 {
+            assert!(Instant::now() < end, "{path} is still refused");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        for gateway in 0..3 {
+            cluster.ask_until(gateway, path, |answer| answer.status == 200).await;
+        }
+    }
+}
+
 /// Repeats the request on three nodes, and then on three that start one after the other.
 async fn assert_started_nodes_know(cluster: &mut Cluster, repeats: &mut Repeats) {
     cluster.set_modes(ReplicaMode::CrashingOn("poison"));
@@ -127,6 +189,10 @@
     repeats.assert_few_reach_replicas(cluster);
 }
 
+/// The time after a quarantine within which a quarantined request gets its first trial, as callers
+/// are told, with a margin.
+const TIME_WITH_TRIAL: Duration = Duration::from_secs(40);
+
 /// A request that its caller repeats, with the ids of its attempts.
 struct Repeats {
     path: &'static str,
@@ -148,12 +214,18 @@
         self.attempt_ids.insert(attempt_id);
     }
 
-    /// Checks that few attempts reach replicas after three replicas have crashed.
-    fn assert_few_reach_replicas(&self, cluster: &Cluster) {
+    /// Returns what the replicas received of the request, in the order of time.
+    fn received(&self, cluster: &Cluster) -> Vec<ReceivedRequest> {
         let mut received: Vec<_> =
             cluster.replicas.iter().flat_map(ReplicaStandIn::received_requests).collect();
         received.retain(|request| self.attempt_ids.contains(&request.attempt_id));
         received.sort_by_key(|request| request.received_at);
+        received
+    }
+
+    /// Checks that few attempts reach replicas after three replicas have crashed.
+    fn assert_few_reach_replicas(&self, cluster: &Cluster) {
+        let received = self.received(cluster);
         let (crashing, later) = received.split_at(3);
         let crashing: IndexSet<&String> =
             crashing.iter().map(|request| &request.attempt_id).collect();
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_report.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_report.rs
@@ -33,4 +33,11 @@
         let crash_id = xxh3_64(attempt_id.as_bytes()) ^ xxh3_64(replica.as_bytes()).rotate_left(1);
         Self { fingerprint, crash_id }
     }
+
+    /// Creates the second report of an attempt of a query over shards, under which many replicas
+    /// crashed and none answered.
+    pub fn of_many(fingerprint: u64, attempt_id: &str) -> Self {
+        // No replica has this name, as ids have no spaces.
+        Self::new(fingerprint, attempt_id, "many replicas")
+    }
 }
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -99,7 +99,7 @@
     let request = Rc::new(request);
     match traffic.quarantine.admit(&request).await {
         QuarantineAdmission::Admitted => {}
-        QuarantineAdmission::Trial => request.is_trial.set(true),
+        QuarantineAdmission::Trial => request.progress.is_trial.set(true),
         QuarantineAdmission::Refused { retry_after_ms } => {
             let (fingerprint, request) = (request.fingerprint, &request.attempt_id);
             log::info!(
@@ -111,7 +111,7 @@
         }
     }
     let answer = serve_route(traffic, &request, &route).await;
-    if request.is_trial.get() {
+    if request.progress.is_trial.get() {
         traffic.quarantine.finish_trial(&request);
     }
     let answer = answer?;
--- a/crates/sassafrasproxy-gateway/src/quarantine.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine.rs
@@ -219,12 +219,12 @@
 
     /// Returns whether no further send of a request may start.
     pub fn stops_sends(&self, request: &CallerRequest) -> bool {
-        !request.is_trial.get() && self.requests.borrow().is_quarantined(request.fingerprint)
+        !request.progress.is_trial.get() && self.requests.borrow().is_quarantined(request.fingerprint)
     }
 
     /// Records the end of a trial, which may be tried again if no replica can have run it.
     pub fn finish_trial(&self, request: &CallerRequest) {
-        if !request.may_have_run.get() {
+        if !request.progress.may_have_run() {
             self.requests.borrow_mut().return_trial(request.fingerprint);
         }
     }
--- a/crates/sassafrasproxy-gateway/src/relay_call.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_call.rs
@@ -159,7 +159,7 @@
                 work_time_percent: part.work_time_percent.filter(|percent| *percent > 0),
             });
             guard.finish(outcome, reported_load);
-            spec.request.record_result(result);
+            spec.request.progress.record_result(result);
             if result == SendResult::Answered {
                 traffic.quarantine.record_answer(spec.request.fingerprint);
                 traffic.record_latency(&spec.route, elapsed_us);
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -1,6 +1,5 @@
 //! Serves relay calls: sends to replicas near this node on behalf of another gateway node.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +19,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::metrics::KindLabel;
-use crate::request::{CallerRequest, RequestAccount};
+use crate::request::{CallerRequest, RequestAccount, RequestProgress};
 use crate::traffic::TrafficState;
 use crate::upstream::{SendSpec, SendTasks, UpstreamResult, start_send};
 
@@ -231,8 +230,7 @@
         deadline_us: arrived_us + call.remaining_us,
         elapsed_before_arrival_us: 0,
         fingerprint: call.fingerprint,
-        is_trial: Cell::new(false),
-        may_have_run: Cell::new(false),
+        progress: RequestProgress::default(),
     })
 }
 
--- a/crates/sassafrasproxy-gateway/src/request.rs
+++ b/crates/sassafrasproxy-gateway/src/request.rs
@@ -19,6 +19,12 @@
 /// The minimum answer reserve, in milliseconds.
 const MIN_ANSWER_RESERVE_MS: u64 = 3;
 
+/// The number of replicas that crash during one attempt of a query, without any answer, from which
+/// the crashes count twice.
+///
+/// The loss of a failure domain ends many replicas of a query too, but others of it answer.
+const MANY_CRASHES: usize = 3;
+
 /// A complete request of a caller.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -45,10 +51,47 @@
     pub elapsed_before_arrival_us: u64,
     /// The hash of the request's host, method, path and body.
     pub fingerprint: u64,
+    /// What the sends of the request have shown so far.
+    pub progress: RequestProgress,
+}
+
+/// What the sends of a request have shown so far on this node.
+#[derive(Debug, Default)]
+pub struct RequestProgress {
     /// Whether this is the trial of a quarantined request, which is sent once.
     pub is_trial: Cell<bool>,
     /// Whether a replica has run the request, or may have.
-    pub may_have_run: Cell<bool>,
+    may_have_run: Cell<bool>,
+    /// Whether a replica has answered the request.
+    is_answered: Cell<bool>,
+    /// The number of replicas that crashed while they ran the request.
+    crashes: Cell<usize>,
+}
+
+impl RequestProgress {
+    /// Records the result of a send.
+    pub fn record_result(&self, result: SendResult) {
+        match result {
+            SendResult::Answered => {
+                self.may_have_run.set(true);
+                self.is_answered.set(true);
+            }
+            SendResult::MayHaveRun => self.may_have_run.set(true),
+            SendResult::NotRun | SendResult::Unsent => {}
+        }
+    }
+
+    /// Records the crash of a replica; returns whether it shows that the request crashes replicas,
+    /// as several have crashed and none has answered.
+    pub fn record_crash(&self) -> bool {
+        self.crashes.set(self.crashes.get() + 1);
+        self.crashes.get() == MANY_CRASHES && !self.is_answered.get()
+    }
+
+    /// Returns whether a replica has run the request, or may have.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
 }
 
 /// The client account that a request belongs to.
@@ -114,8 +157,7 @@
             deadline_us,
             elapsed_before_arrival_us,
             fingerprint,
-            is_trial: Cell::new(false),
-            may_have_run: Cell::new(false),
+            progress: RequestProgress::default(),
         }
     }
 
@@ -126,14 +168,6 @@
         }
     }
 
-    /// Records the result of a send of the request.
-    pub fn record_result(&self, result: SendResult) {
-        match result {
-            SendResult::Answered | SendResult::MayHaveRun => self.may_have_run.set(true),
-            SendResult::NotRun | SendResult::Unsent => {}
-        }
-    }
-
     /// Returns the priority of the request: that of its client account, if it has one, or else that of
     /// its route. 0 is the most urgent.
     pub fn priority(&self, route: &Route) -> u32 {
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -181,7 +181,7 @@
         let guard = SendGuard::new(&traffic, spec.replica.id.clone(), spec.send_id);
         let started_us = traffic.clock.now_us();
         let result = run_send(&traffic, &spec).await;
-        spec.request.record_result(result.send_result());
+        spec.request.progress.record_result(result.send_result());
         if result.send_result() == SendResult::Answered {
             traffic.record_latency(&spec.route, traffic.clock.now_us() - started_us);
         }
@@ -282,19 +282,24 @@
     let replica = if is_single { spec.replica.id.as_str() } else { "" };
     let report = CrashReport::new(spec.request.fingerprint, &spec.request.attempt_id, replica);
     let (traffic, address) = (traffic.clone(), spec.replica.address);
-    let (request, replica) = (spec.request.attempt_id.clone(), spec.replica.id.clone());
-    let fingerprint = report.fingerprint;
+    let (request, replica) = (spec.request.clone(), spec.replica.id.clone());
+    let is_fan_out = spec.is_fan_out;
     spawn_local(async move {
+        let (id, fingerprint) = (&request.attempt_id, request.fingerprint);
         match connect(address, CONNECT_TIMEOUT, Duration::ZERO).await {
             Err(error) if error.is_process_gone() => {
                 log::warn!(
-                    request:%, replica:%, fingerprint, error:%;
+                    request:% = id, replica:%, fingerprint, error:%;
                     "a replica crashed while it ran a request"
                 );
                 traffic.quarantine.record_crash(report);
+                if is_fan_out && request.progress.record_crash() {
+                    let second = CrashReport::of_many(fingerprint, id);
+                    traffic.quarantine.record_crash(second);
+                }
             }
             Ok(_) | Err(_) => log::info!(
-                request:%, replica:%, fingerprint;
+                request:% = id, replica:%, fingerprint;
                 "a replica that did not answer still accepts connections"
             ),
         }
