Record a suspicion from the second report, and tell a wave of crashes apart

The store now has a record from the second report on, with the ids of the crashes, and a node that starts counts from there; a suspicion that nothing confirms is removed after ten minutes.

While replicas crash under four different requests within a second, or under two at a node that has just started, six reports are needed; a node that saw an answer says so again for each later wave.

The test crash_wave adds its third report five seconds after the wave, where three are enough; request_in_crash_wave holds the wave itself.

--- a/crates/sassafrasproxy-core/src/forward/callers/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/mod.rs
@@ -29,7 +29,7 @@
     ExtraSends, LoadLevel, NodeAdmission, RefusalCause,
 };
 pub use self::request_quarantine::{
-    CrashReport, MAX_QUARANTINE_RECORDS, QuarantineDecision, QuarantineRecord, QuarantineRecords,
-    QuarantineWrite, ReportStep, RequestQuarantine,
+    CrashReport, QuarantineDecision, QuarantineRecord, QuarantineRecords, QuarantineWrite,
+    ReportStep, RequestQuarantine, displaced_record,
 };
 pub use self::retry_delay::{retry_delay_ms, retry_delay_within_ms};
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
@@ -1,16 +1,18 @@
 //! Quarantines requests that crash the replicas that run them.
 
 mod crash_report;
+mod crash_wave;
 mod recent_answers;
 mod record;
+mod tracked_request;
 
 use indexmap::IndexMap;
 
 pub use self::crash_report::CrashReport;
+use self::crash_wave::CrashWave;
 use self::recent_answers::RecentAnswers;
-pub use self::record::{
-    MAX_QUARANTINE_RECORDS, QuarantineRecord, QuarantineRecords, QuarantineWrite,
-};
+pub use self::record::{QuarantineRecord, QuarantineRecords, QuarantineWrite, displaced_record};
+use self::tracked_request::TrackedRequest;
 
 /// The number of crash reports from which a request is quarantined.
 ///
@@ -19,6 +21,14 @@
 /// request.
 const MIN_CRASH_REPORTS: usize = 3;
 
+/// The number of crash reports from which a request is quarantined while replicas crash under many
+/// requests at once, as when a failure domain is lost.
+const MIN_UNCERTAIN_REPORTS: usize = 6;
+
+/// The number of crash reports from which the store has a record of a request, so that the reports
+/// outlast the nodes that know them.
+const MIN_RECORDED_REPORTS: usize = 2;
+
 /// The time for which a report counts, in microseconds.
 ///
 /// Longer than callers take between repeats. An answer ends the suspicion sooner.
@@ -27,16 +37,6 @@
 /// The maximum number of requests for which reports are kept.
 const MAX_TRACKED_REQUESTS: usize = 1_024;
 
-/// The time until another try to write a record to the store, in microseconds.
-const WRITE_RETRY_US: u64 = 5_000_000;
-
-/// The time after which this node asks the store again for a trial that another node may have got,
-/// in microseconds.
-const TRIAL_RETRY_US: u64 = 5_000_000;
-
-/// The retry delay of a request that gets no trial any more, in microseconds.
-const NO_TRIAL_RETRY_US: u64 = 3_600_000_000;
-
 /// Counts crash reports, and quarantines requests that repeatedly crash replicas.
 ///
 /// Prevents a request that is sent repeatedly from crashing one replica after the other. Reports are
@@ -49,6 +49,7 @@
     /// The requests that have crash reports or a record, by fingerprint.
     requests: IndexMap<u64, TrackedRequest>,
     recent_answers: RecentAnswers,
+    crash_wave: CrashWave,
 }
 
 /// What an added crash report changed.
@@ -68,7 +69,7 @@
 }
 
 /// Whether a request may be sent to replicas.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineDecision {
     /// The request may be sent; it has this number of crash reports.
     Send(usize),
@@ -80,7 +81,7 @@
         /// The new record.
         record: QuarantineRecord,
         /// The revision of the record that it replaces.
-        revision: u64,
+        expected_revision: u64,
     },
     /// The request is refused.
     Refuse {
@@ -89,40 +90,16 @@
     },
 }
 
-#[derive(Debug)]
-struct TrackedRequest {
-    /// The expiry of each report, by crash id.
-    expiries_us: IndexMap<u64, u64>,
-    stage: Stage,
-}
-
-#[derive(Debug)]
-enum Stage {
-    /// There are too few reports.
-    Suspected,
-    /// The request is quarantined, but this node knows no record of it.
-    Unrecorded { write_due_us: u64 },
-    /// The store has a record of the quarantine.
-    Recorded(KnownRecord),
-}
-
-#[derive(Debug)]
-struct KnownRecord {
-    record: QuarantineRecord,
-    revision: u64,
-    /// The time of the next trial, in microseconds; `None` if there is none.
-    trial_due_us: Option<u64>,
-    /// Whether this node has won the trial that the record counts last, and has not used it.
-    has_trial: bool,
-    /// The time at which to remove the record, in microseconds; `None` while it is needed.
-    removal_due_us: Option<u64>,
-}
-
 impl RequestQuarantine {
+    /// Creates the state of a node that starts, which has seen no answers yet.
+    pub fn starting_at(now_us: u64) -> Self {
+        Self { recent_answers: RecentAnswers::starting_at(now_us), ..Self::default() }
+    }
+
     /// Adds a report of this node or of a peer.
     ///
-    /// `write_delay_us` is the time for which this node waits for another to record the quarantine;
-    /// 0 if this node saw the crash.
+    /// `write_delay_us` is the time for which this node waits for another to record it; 0 if this
+    /// node saw the crash.
     pub fn add_report(
         &mut self,
         now_us: u64,
@@ -131,96 +108,77 @@
     ) -> ReportStep {
         let fingerprint = report.fingerprint;
         if self.recent_answers.contains(now_us, fingerprint) {
-            return ReportStep::Refuted { is_news: self.recent_answers.announce(fingerprint) };
+            return ReportStep::Refuted {
+                is_news: self.recent_answers.announce(now_us, fingerprint),
+            };
         }
         if !self.make_room(fingerprint) {
             return ReportStep::Known;
         }
-        let tracked = self.requests.entry(fingerprint).or_insert_with(|| TrackedRequest {
-            expiries_us: IndexMap::new(),
-            stage: Stage::Suspected,
-        });
-        if let Stage::Suspected = tracked.stage {
-            tracked.expiries_us.retain(|_, expires_us| *expires_us > now_us);
-        }
-        if tracked.expiries_us.insert(report.crash_id, now_us + REPORT_TTL_US).is_some() {
+        let tracked = self.requests.entry(fingerprint).or_default();
+        tracked.expire(now_us);
+        if !tracked.add_report(now_us, report.crash_id, write_delay_us) {
             return ReportStep::Known;
         }
-        let reports = tracked.expiries_us.len();
-        match tracked.stage {
-            Stage::Suspected if reports >= MIN_CRASH_REPORTS => {
-                tracked.stage = Stage::Unrecorded { write_due_us: now_us + write_delay_us };
-                ReportStep::Quarantined
-            }
-            Stage::Suspected | Stage::Unrecorded { .. } | Stage::Recorded(_) => {
-                ReportStep::Counted(reports)
-            }
+        self.crash_wave.record(now_us, fingerprint);
+        let is_uncertain = match self.recent_answers.is_complete(now_us) {
+            true => self.crash_wave.is_running(),
+            false => self.crash_wave.is_possible(),
+        };
+        let min_reports = if is_uncertain { MIN_UNCERTAIN_REPORTS } else { MIN_CRASH_REPORTS };
+        let is_enough = tracked.report_count() >= min_reports;
+        if is_enough && tracked.quarantine(now_us, write_delay_us) {
+            return ReportStep::Quarantined;
         }
+        ReportStep::Counted(tracked.report_count())
     }
 
     /// Records that a replica answered a request; returns whether this ends a suspicion, so that
     /// peers must be told.
     pub fn record_answer(&mut self, now_us: u64, fingerprint: u64) -> bool {
         self.recent_answers.insert(now_us, fingerprint);
-        let Some(tracked) = self.requests.get_mut(&fingerprint) else { return false };
-        match &mut tracked.stage {
-            Stage::Suspected | Stage::Unrecorded { .. } => {
-                self.requests.shift_remove(&fingerprint);
-                self.recent_answers.announce(fingerprint);
-                true
-            }
-            Stage::Recorded(known) => {
-                known.removal_due_us.get_or_insert(now_us);
-                false
-            }
+        let is_suspected =
+            self.requests.get(&fingerprint).is_some_and(|tracked| tracked.report_count() > 0);
+        if is_suspected {
+            self.refute(fingerprint, now_us);
+            self.recent_answers.announce(now_us, fingerprint);
         }
+        is_suspected
     }
 
     /// Records that a replica answered a request of a peer, which drops the reports on it.
     ///
-    /// A record of it stays until the store removes it.
-    pub fn record_peer_answer(&mut self, now_us: u64, fingerprint: u64) {
+    /// `write_delay_us` is the time for which this node waits for that peer to remove the record.
+    pub fn record_peer_answer(&mut self, now_us: u64, fingerprint: u64, write_delay_us: u64) {
         self.recent_answers.insert(now_us, fingerprint);
-        self.recent_answers.announce(fingerprint);
-        let tracked = self.requests.get(&fingerprint);
-        if tracked.is_some_and(|tracked| !matches!(tracked.stage, Stage::Recorded(_))) {
-            self.requests.shift_remove(&fingerprint);
-        }
+        self.recent_answers.announce(now_us, fingerprint);
+        self.refute(fingerprint, now_us + write_delay_us);
     }
 
     /// Replaces the records of the store by the current ones.
     ///
-    /// `trial_jitter_us` returns a random time that is added to the delay of a trial.
+    /// `random_delay_us` returns a random time that is added to the delay of a trial or write, so
+    /// that not all nodes act at once.
     pub fn set_records(
         &mut self,
         now_us: u64,
         records: &QuarantineRecords,
-        mut trial_jitter_us: impl FnMut() -> u64,
+        mut random_delay_us: impl FnMut() -> u64,
     ) {
-        self.requests.retain(|fingerprint, tracked| match tracked.stage {
-            Stage::Recorded(_) => records.contains_key(fingerprint),
-            Stage::Suspected | Stage::Unrecorded { .. } => true,
-        });
-        for (record, revision) in records.values() {
-            let tracked = self.requests.entry(record.fingerprint).or_insert_with(|| {
-                TrackedRequest { expiries_us: IndexMap::new(), stage: Stage::Suspected }
-            });
-            let (has_trial, removal_due_us) = match &tracked.stage {
-                Stage::Recorded(known) if known.revision >= *revision => continue,
-                Stage::Recorded(known) => {
-                    let is_same = known.record == *record;
-                    (known.has_trial && is_same, known.removal_due_us)
-                }
-                Stage::Suspected | Stage::Unrecorded { .. } => (false, None),
-            };
-            let delay_us = record.trial_delay_us();
-            tracked.stage = Stage::Recorded(KnownRecord {
-                record: *record,
-                revision: *revision,
-                trial_due_us: delay_us.map(|delay_us| now_us + delay_us + trial_jitter_us()),
-                has_trial,
-                removal_due_us,
-            });
+        for (fingerprint, tracked) in &mut self.requests {
+            if tracked.has_record() && !records.contains_key(fingerprint) {
+                tracked.forget_record(now_us);
+            }
+        }
+        self.requests.retain(|_, tracked| !tracked.is_empty());
+        for (fingerprint, (record, revision)) in records {
+            let tracked = self.requests.entry(*fingerprint).or_default();
+            let delay_us = random_delay_us();
+            tracked.set_record(now_us, record, *revision, delay_us);
+            // The record was on its way while the request was answered.
+            if self.recent_answers.contains(now_us, *fingerprint) {
+                tracked.refute(now_us + delay_us);
+            }
         }
     }
 
@@ -229,80 +187,56 @@
         let Some(tracked) = self.requests.get_mut(&fingerprint) else {
             return QuarantineDecision::Send(0);
         };
-        match &mut tracked.stage {
-            Stage::Suspected => {
-                tracked.expiries_us.retain(|_, expires_us| *expires_us > now_us);
-                let reports = tracked.expiries_us.len();
-                if reports == 0 {
-                    self.requests.shift_remove(&fingerprint);
-                }
-                QuarantineDecision::Send(reports)
-            }
-            Stage::Unrecorded { .. } => {
-                let delay_us = QuarantineRecord::new(fingerprint).trial_delay_us();
-                QuarantineDecision::Refuse { retry_after_us: delay_us.unwrap_or(NO_TRIAL_RETRY_US) }
-            }
-            Stage::Recorded(known) => known.decide(now_us),
+        tracked.expire(now_us);
+        if tracked.is_empty() {
+            self.requests.shift_remove(&fingerprint);
+            return QuarantineDecision::Send(0);
         }
+        tracked.decide(now_us)
     }
 
     /// Returns whether sends of a request that is no trial must stop.
     pub fn is_quarantined(&self, fingerprint: u64) -> bool {
-        let tracked = self.requests.get(&fingerprint);
-        tracked.is_some_and(|tracked| !matches!(tracked.stage, Stage::Suspected))
+        self.requests.get(&fingerprint).is_some_and(TrackedRequest::is_quarantined)
     }
 
-    /// Records that this node has won the trial that a write claimed with a record.
-    pub fn win_trial(&mut self, record: QuarantineRecord) {
-        if let Some(known) = self.known_record(record.fingerprint)
-            && known.record.trials < record.trials
-        {
-            known.record = record;
-            known.trial_due_us = None;
+    /// Records that this node has won the trial that it claimed with a record.
+    pub fn win_trial(&mut self, record: &QuarantineRecord) {
+        if let Some(tracked) = self.requests.get_mut(&record.fingerprint) {
+            tracked.win_trial(record);
         }
     }
 
     /// Records that a trial ended before any replica got the request; the next request takes it.
     pub fn return_trial(&mut self, fingerprint: u64) {
-        if let Some(known) = self.known_record(fingerprint) {
-            known.has_trial = true;
+        if let Some(tracked) = self.requests.get_mut(&fingerprint) {
+            tracked.return_trial();
         }
     }
 
-    /// Returns the time of the next write to the store, in microseconds; `None` if none is due.
+    /// Returns the time of the next write to the store, in microseconds; `None` if none is needed.
     pub fn next_write_us(&self) -> Option<u64> {
         self.requests.values().filter_map(TrackedRequest::write_due_us).min()
     }
 
     /// Takes the writes to the store that are due; each comes again until the store shows it.
     pub fn take_due_writes(&mut self, now_us: u64) -> Vec<QuarantineWrite> {
-        let due = self.requests.iter_mut();
-        let due = due.filter(|(_, tracked)| tracked.write_due_us().is_some_and(|at| at <= now_us));
-        let writes = due.filter_map(|(fingerprint, tracked)| match &mut tracked.stage {
-            Stage::Suspected => None,
-            Stage::Unrecorded { write_due_us } => {
-                *write_due_us = now_us + WRITE_RETRY_US;
-                Some(QuarantineWrite::Create(QuarantineRecord::new(*fingerprint)))
-            }
-            Stage::Recorded(known) => {
-                known.removal_due_us = Some(now_us + WRITE_RETRY_US);
-                let (fingerprint, revision) = (*fingerprint, known.revision);
-                Some(QuarantineWrite::Remove { fingerprint, revision })
-            }
-        });
-        writes.collect()
+        let requests = self.requests.iter_mut();
+        requests
+            .filter_map(|(fingerprint, tracked)| tracked.take_due_write(now_us, *fingerprint))
+            .collect()
     }
 
     /// Returns the number of quarantined requests.
     pub fn quarantined_count(&self) -> usize {
-        let stages = self.requests.values().map(|tracked| &tracked.stage);
-        stages.filter(|stage| !matches!(stage, Stage::Suspected)).count()
+        self.requests.values().filter(|tracked| tracked.is_quarantined()).count()
     }
 
-    fn known_record(&mut self, fingerprint: u64) -> Option<&mut KnownRecord> {
-        match &mut self.requests.get_mut(&fingerprint)?.stage {
-            Stage::Recorded(known) => Some(known),
-            Stage::Suspected | Stage::Unrecorded { .. } => None,
+    fn refute(&mut self, fingerprint: u64, removal_due_us: u64) {
+        let Some(tracked) = self.requests.get_mut(&fingerprint) else { return };
+        tracked.refute(removal_due_us);
+        if tracked.is_empty() {
+            self.requests.shift_remove(&fingerprint);
         }
     }
 
@@ -314,38 +248,11 @@
         if self.requests.len() < MAX_TRACKED_REQUESTS || self.requests.contains_key(&fingerprint) {
             return true;
         }
-        let suspected =
-            self.requests.iter().filter(|(_, tracked)| matches!(tracked.stage, Stage::Suspected));
-        let fewest = suspected.min_by_key(|(_, tracked)| tracked.expiries_us.len());
+        let droppable = self.requests.iter();
+        let droppable = droppable.filter(|(_, tracked)| !tracked.has_record());
+        let fewest = droppable.min_by_key(|(_, tracked)| tracked.report_count());
         let Some(dropped) = fewest.map(|(fingerprint, _)| *fingerprint) else { return false };
         self.requests.shift_remove(&dropped);
         true
     }
 }
-
-impl TrackedRequest {
-    fn write_due_us(&self) -> Option<u64> {
-        match &self.stage {
-            Stage::Suspected => None,
-            Stage::Unrecorded { write_due_us } => Some(*write_due_us),
-            Stage::Recorded(known) => known.removal_due_us,
-        }
-    }
-}
-
-impl KnownRecord {
-    fn decide(&mut self, now_us: u64) -> QuarantineDecision {
-        if std::mem::take(&mut self.has_trial) {
-            return QuarantineDecision::SendTrial;
-        }
-        let Some(due_us) = self.trial_due_us else {
-            return QuarantineDecision::Refuse { retry_after_us: NO_TRIAL_RETRY_US };
-        };
-        if now_us < due_us {
-            return QuarantineDecision::Refuse { retry_after_us: due_us - now_us };
-        }
-        self.trial_due_us = Some(now_us + TRIAL_RETRY_US);
-        let record = QuarantineRecord { trials: self.record.trials + 1, ..self.record };
-        QuarantineDecision::ClaimTrial { record, revision: self.revision }
-    }
-}
--- a/crates/sassafrasproxy-core/src/forward/registry/discovery/events.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/discovery/events.rs
@@ -115,14 +115,16 @@
         /// The phase of the rollout.
         phase: RolloutPhase,
     },
-    /// A request was quarantined, or got a trial.
+    /// A request that crashes replicas was recorded, or got a trial.
     QuarantineRecorded {
         /// The fingerprint of the request.
         fingerprint: u64,
+        /// Whether the request is quarantined, rather than suspected only.
+        is_quarantined: bool,
         /// The number of trials that nodes have started.
         trials: usize,
     },
-    /// The quarantine of a request ended.
+    /// The record of a request that crashed replicas was removed.
     QuarantineRemoved {
         /// The fingerprint of the request.
         fingerprint: u64,
--- a/crates/sassafrasproxy-core/src/forward/registry/discovery/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/discovery/mod.rs
@@ -164,7 +164,7 @@
             }
             RegistryKey::Quarantine(fingerprint) => {
                 let known = self.quarantines.get(fingerprint)?;
-                Some(RegistryEntry::Quarantine(known.value))
+                Some(RegistryEntry::Quarantine(known.value.clone()))
             }
         }
     }
@@ -207,7 +207,7 @@
         entries.extend(
             self.quarantines
                 .iter()
-                .map(|(_, known)| (RegistryEntry::Quarantine(known.value), known.revision)),
+                .map(|(_, known)| (RegistryEntry::Quarantine(known.value.clone()), known.revision)),
         );
         entries
     }
@@ -215,8 +215,8 @@
     /// Returns the records of the quarantined requests.
     pub fn quarantines(&mut self) -> Arc<QuarantineRecords> {
         let records = self.quarantines.iter();
-        let records =
-            records.map(|(fingerprint, known)| (*fingerprint, (known.value, known.revision)));
+        let records = records
+            .map(|(fingerprint, known)| (*fingerprint, (known.value.clone(), known.revision)));
         let published = &mut self.published_quarantines;
         published.get_or_insert_with(|| Arc::new(records.collect())).clone()
     }
@@ -364,10 +364,14 @@
                 }
             }
             RegistryEntry::Quarantine(record) => {
-                let QuarantineRecord { fingerprint, trials } = record;
+                let (fingerprint, trials) = (record.fingerprint, record.trials);
+                let is_quarantined = record.is_quarantined;
                 if self.quarantines.upsert_if_newer(fingerprint, record, revision) {
-                    self.log_events
-                        .push(DiscoveryLogEvent::QuarantineRecorded { fingerprint, trials });
+                    self.log_events.push(DiscoveryLogEvent::QuarantineRecorded {
+                        fingerprint,
+                        is_quarantined,
+                        trials,
+                    });
                     self.published_quarantines = None;
                     self.is_catalogue_stale = true;
                 }
--- a/crates/sassafrasproxy-core/tests/request_quarantine.rs
+++ b/crates/sassafrasproxy-core/tests/request_quarantine.rs
@@ -24,6 +24,12 @@
     quarantine
 }
 
+/// Returns the record of a quarantined request.
+fn record(fingerprint: u64, trials: usize) -> QuarantineRecord {
+    let crash_ids = (0..3).map(|attempt| report(fingerprint, attempt).crash_id).collect();
+    QuarantineRecord { fingerprint, is_quarantined: true, crash_ids, trials }
+}
+
 fn records(record: QuarantineRecord, revision: u64) -> QuarantineRecords {
     QuarantineRecords::from_iter([(record.fingerprint, (record, revision))])
 }
@@ -84,7 +90,7 @@
     for second in 0..3_600 {
         let now_us = second * SECOND_US;
         for write in quarantine.take_due_writes(now_us) {
-            let QuarantineWrite::Create(record) = write else { panic!("unexpected {write:?}") };
+            let QuarantineWrite::Put { record, .. } = write else { panic!("unexpected {write:?}") };
             revision += 1;
             stored = records(record, revision);
         }
@@ -96,7 +102,7 @@
             QuarantineDecision::ClaimTrial { record, .. } => {
                 revision += 1;
                 stored = records(record, revision);
-                quarantine.win_trial(record);
+                quarantine.win_trial(&stored[&crashing].0);
             }
         }
         crashes += 1;
@@ -105,6 +111,25 @@
     assert!(crashes - 3 <= 3, "{crashes} crashes, three of them before the quarantine");
 }
 
+/// Guards against a fleet whose processes all end before a third crash, so that no node knows the
+/// first two.
+#[test]
+fn two_reports_outlast_nodes() {
+    let crashing = fingerprint("/x/1");
+    let mut quarantine = RequestQuarantine::default();
+    (0..2).for_each(|attempt| {
+        quarantine.add_report(0, report(crashing, attempt), 0);
+    });
+    let writes = quarantine.take_due_writes(0);
+    let [QuarantineWrite::Put { record, expected_revision: 0 }] = writes.as_slice() else {
+        panic!("unexpected {writes:?}");
+    };
+    let mut started = RequestQuarantine::default();
+    started.set_records(0, &records(record.clone(), 1), || 0);
+    assert_eq!(started.decide(0, crashing), QuarantineDecision::Send(2));
+    assert_eq!(started.add_report(0, report(crashing, 2), 0), ReportStep::Quarantined);
+}
+
 /// Guards against a caller that waits longer than reports count, so that none are ever enough.
 #[test]
 fn slow_repeats() {
@@ -143,7 +168,7 @@
 fn peer_answers_end_suspicion() {
     let popular = fingerprint("/x/1");
     let mut quarantine = quarantined(popular);
-    quarantine.record_peer_answer(SECOND_US, popular);
+    quarantine.record_peer_answer(SECOND_US, popular, 0);
     assert!(!quarantine.is_quarantined(popular));
     assert_eq!(quarantine.next_write_us(), None);
 }
@@ -152,21 +177,19 @@
 #[test]
 fn one_trial_for_all_nodes() {
     let crashing = fingerprint("/x/1");
-    let stored = records(QuarantineRecord::new(crashing), 7);
+    let stored = records(record(crashing, 0), 7);
     let mut nodes = [quarantined(crashing), RequestQuarantine::default()];
     let due_us = 60 * SECOND_US;
     for node in &mut nodes {
         node.set_records(0, &stored, || 0);
     }
     let claims = nodes.each_mut().map(|node| node.decide(due_us, crashing));
-    let claim = QuarantineDecision::ClaimTrial {
-        record: QuarantineRecord { fingerprint: crashing, trials: 1 },
-        revision: 7,
-    };
-    assert_eq!(claims, [claim, claim], "the store accepts one of them");
+    let claim =
+        QuarantineDecision::ClaimTrial { record: record(crashing, 1), expected_revision: 7 };
+    assert_eq!(claims, [claim.clone(), claim], "the store accepts one of them");
     let [winner, other] = &mut nodes;
-    winner.win_trial(QuarantineRecord { fingerprint: crashing, trials: 1 });
-    let stored = records(QuarantineRecord { fingerprint: crashing, trials: 1 }, 8);
+    winner.win_trial(&record(crashing, 1));
+    let stored = records(record(crashing, 1), 8);
     for node in [winner, other] {
         node.set_records(due_us, &stored, || 0);
         let decision = node.decide(due_us + 60 * SECOND_US, crashing);
@@ -179,25 +202,43 @@
 fn trials_end_quarantine() {
     let mended = fingerprint("/x/1");
     let mut quarantine = RequestQuarantine::default();
-    quarantine.set_records(0, &records(QuarantineRecord::new(mended), 7), || 0);
+    quarantine.set_records(0, &records(record(mended, 0), 7), || 0);
     let due_us = 60 * SECOND_US;
     let QuarantineDecision::ClaimTrial { record, .. } = quarantine.decide(due_us, mended) else {
         panic!("no trial is due");
     };
-    quarantine.win_trial(record);
+    quarantine.win_trial(&record);
     quarantine.set_records(due_us, &records(record, 8), || 0);
     // No replica could take the first one.
     quarantine.return_trial(mended);
     assert_eq!(quarantine.decide(due_us, mended), QuarantineDecision::SendTrial);
     quarantine.record_answer(due_us, mended);
-    let removal = QuarantineWrite::Remove { fingerprint: mended, revision: 8 };
-    assert_eq!(quarantine.take_due_writes(due_us), [removal]);
+    let removal = QuarantineWrite::Remove { fingerprint: mended, expected_revision: 8 };
+    let removals = std::slice::from_ref(&removal);
+    assert_eq!(quarantine.take_due_writes(due_us), removals);
     assert_eq!(quarantine.take_due_writes(due_us), [], "the same again at once");
-    assert_eq!(quarantine.take_due_writes(due_us + 60 * SECOND_US), [removal], "no answer came");
+    assert_eq!(quarantine.take_due_writes(due_us + 60 * SECOND_US), removals, "no answer came");
     quarantine.set_records(due_us, &QuarantineRecords::new(), || 0);
     assert_eq!(quarantine.decide(due_us, mended), QuarantineDecision::Send(0));
 }
 
+/// Guards against the refusal of a request that was in progress several times when a failure domain
+/// was lost, together with other requests.
+#[test]
+fn request_in_crash_wave() {
+    let popular = fingerprint("/x/1");
+    let mut quarantine = RequestQuarantine::default();
+    for request in 0..4 {
+        quarantine.add_report(0, report(fingerprint(&format!("/y/{request}")), 0), 0);
+    }
+    for attempt in 0..5 {
+        let step = quarantine.add_report(0, report(popular, attempt), 0);
+        assert_eq!(step, ReportStep::Counted(attempt as usize + 1));
+    }
+    let step = quarantine.add_report(0, report(popular, 5), 0);
+    assert_eq!(step, ReportStep::Quarantined, "no answer in six sends");
+}
+
 /// Guards against a wave of crashes whose reports displace those of the request that crashes
 /// replicas.
 #[test]
@@ -209,7 +250,9 @@
     for request in 0..5_000 {
         quarantine.add_report(0, report(fingerprint(&format!("/y/{request}")), 0), 0);
     }
-    assert_eq!(quarantine.add_report(0, report(crashing, 2), 0), ReportStep::Quarantined);
+    let later_us = 5 * SECOND_US;
+    let step = quarantine.add_report(later_us, report(crashing, 2), 0);
+    assert_eq!(step, ReportStep::Quarantined);
     for request in 0..5_000 {
         quarantine.add_report(0, report(fingerprint(&format!("/z/{request}")), 0), 0);
     }
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -494,8 +494,11 @@
         DiscoveryLogEvent::RolloutStopped { order_revision } => {
             log::warn!(order_revision, store_revision; "a rollout was stopped");
         }
-        DiscoveryLogEvent::QuarantineRecorded { fingerprint, trials } => {
-            log::info!(fingerprint, trials, store_revision; "the store has a quarantine record");
+        DiscoveryLogEvent::QuarantineRecorded { fingerprint, is_quarantined, trials } => {
+            log::info!(
+                fingerprint, is_quarantined, trials, store_revision;
+                "the store has a quarantine record"
+            );
         }
         DiscoveryLogEvent::QuarantineRemoved { fingerprint } => {
             log::info!(fingerprint, store_revision; "a quarantine record was removed");
--- a/crates/sassafrasproxy-gateway/src/quarantine.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine.rs
@@ -96,7 +96,7 @@
         Self {
             clock,
             metrics,
-            requests: RefCell::default(),
+            requests: RefCell::new(RequestQuarantine::starting_at(clock.now_us())),
             records: RefCell::default(),
             node_count: Cell::new(1),
             notices,
@@ -116,9 +116,9 @@
                     self.add_report(&peer, report, self.random_spread_us());
                 }
                 CrashNotice::Answered(fingerprint) => {
-                    let now_us = self.clock.now_us();
-                    self.requests.borrow_mut().record_peer_answer(now_us, fingerprint);
-                    self.update_metrics();
+                    let (now_us, delay_us) = (self.clock.now_us(), self.random_spread_us());
+                    self.requests.borrow_mut().record_peer_answer(now_us, fingerprint, delay_us);
+                    self.update();
                 }
             }
         }
@@ -152,8 +152,7 @@
         }
         let now_us = self.clock.now_us();
         self.requests.borrow_mut().set_records(now_us, records, || self.random_spread_us());
-        self.update_metrics();
-        self.write_due.notify_one();
+        self.update();
     }
 
     /// Records that a replica crashed while it ran a request; a new report also goes to the peers.
@@ -170,10 +169,7 @@
         if is_news {
             log::info!(fingerprint; "a request with crash reports was answered");
             self.notify_peers(CrashNotice::Answered(fingerprint));
-            self.update_metrics();
-        }
-        if self.metrics.quarantined_requests.get() > 0 {
-            self.write_due.notify_one();
+            self.update();
         }
     }
 
@@ -195,10 +191,12 @@
                 return QuarantineAdmission::Refused { retry_after_ms: retry_after_us / US_PER_MS };
             }
             QuarantineDecision::SendTrial => return QuarantineAdmission::Trial,
-            QuarantineDecision::ClaimTrial { record, revision } => (record, revision),
+            QuarantineDecision::ClaimTrial { record, expected_revision } => {
+                (record, expected_revision)
+            }
         };
-        let (record, revision) = claim;
-        if self.claim_trial(record, revision).await {
+        let (record, expected_revision) = claim;
+        if self.claim_trial(&record, expected_revision).await {
             log::info!(
                 request:% = id, fingerprint, trials = record.trials;
                 "let a quarantined request through as a trial"
@@ -219,7 +217,8 @@
 
     /// Returns whether no further send of a request may start.
     pub fn stops_sends(&self, request: &CallerRequest) -> bool {
-        !request.progress.is_trial.get() && self.requests.borrow().is_quarantined(request.fingerprint)
+        !request.progress.is_trial.get()
+            && self.requests.borrow().is_quarantined(request.fingerprint)
     }
 
     /// Records the end of a trial, which may be tried again if no replica can have run it.
@@ -229,9 +228,9 @@
         }
     }
 
-    async fn claim_trial(&self, record: QuarantineRecord, revision: u64) -> bool {
+    async fn claim_trial(&self, record: &QuarantineRecord, expected_revision: u64) -> bool {
         let (sender, is_accepted) = oneshot::channel();
-        let write = QuarantineWrite::Replace { record, revision };
+        let write = QuarantineWrite::Put { record: record.clone(), expected_revision };
         // The channel is closed if the control thread has ended; the claim fails then.
         let _ = self.writes.send(QuarantineWriteCall { write, is_accepted: Some(sender) });
         let is_won = matches!(timeout(TRIAL_CLAIM_TIMEOUT, is_accepted).await, Ok(Ok(true)));
@@ -264,10 +263,9 @@
             }
             ReportStep::Quarantined => {
                 log::warn!(fingerprint, crash, peer; "a request is quarantined");
-                self.write_due.notify_one();
-                self.update_metrics();
             }
         }
+        self.update();
         true
     }
 
@@ -276,9 +274,11 @@
         let _ = self.notices.send(notice);
     }
 
-    fn update_metrics(&self) {
+    /// Updates the metrics and the time of the next write after a change.
+    fn update(&self) {
         let count = self.requests.borrow().quarantined_count();
         self.metrics.quarantined_requests.set(count as i64);
+        self.write_due.notify_one();
     }
 
     /// Returns a random time within which one of the nodes writes first.
--- a/crates/sassafrasproxy-gateway/src/quarantine_store.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine_store.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use sassafrasproxy_core::{MAX_QUARANTINE_RECORDS, QuarantineRecord, QuarantineWrite};
+use sassafrasproxy_core::{QuarantineRecord, QuarantineWrite, displaced_record};
 use sassafrasproxy_platform::{
     StoreError, StoreRequest, decode_write_status, quarantine_record_key,
 };
@@ -37,21 +37,22 @@
     write: QuarantineWrite,
 ) -> bool {
     match write {
-        QuarantineWrite::Create(record) => {
+        QuarantineWrite::Put { record, expected_revision } => {
             let records = state.discovery.borrow_mut().quarantines();
-            if records.contains_key(&record.fingerprint) {
-                return true;
+            let current = records.get(&record.fingerprint).map_or(0, |(_, revision)| *revision);
+            if current > expected_revision {
+                // Another node was first, which the traffic thread is about to see.
+                return false;
             }
-            if records.len() >= MAX_QUARANTINE_RECORDS
-                && let Some((oldest, revision)) = records.values().min_by_key(|(_, at)| *at)
+            if current == 0
+                && let Some((displaced, revision)) = displaced_record(&records)
             {
-                remove(state, client, oldest.fingerprint, *revision).await;
+                remove(state, client, displaced.fingerprint, *revision).await;
             }
-            put(state, client, record, 0).await
+            put(state, client, &record, expected_revision).await
         }
-        QuarantineWrite::Replace { record, revision } => put(state, client, record, revision).await,
-        QuarantineWrite::Remove { fingerprint, revision } => {
-            remove(state, client, fingerprint, revision).await
+        QuarantineWrite::Remove { fingerprint, expected_revision } => {
+            remove(state, client, fingerprint, expected_revision).await
         }
     }
 }
@@ -59,10 +60,10 @@
 async fn put(
     state: &ControlState,
     client: &mut PersistentClient,
-    record: QuarantineRecord,
+    record: &QuarantineRecord,
     expected_revision: u64,
 ) -> bool {
-    let value = match serde_json::to_vec(&record) {
+    let value = match serde_json::to_vec(record) {
         Ok(value) => value,
         Err(error) => {
             log::error!(error:%; "cannot encode a quarantine record");
