Check twice whether a replica whose connection broke has crashed

Cause: the check whether the process is gone connected once and at once. A process that ends closes its connections before the system refuses new ones. Now a replica that accepts the first connection is checked again after 750 ms. The check moves to a file of its own; logs show a fingerprint as the key in the store does.

--- a/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
@@ -111,6 +111,20 @@
     repeats.assert_few_reach_replicas(&cluster);
 }
 
+/// Guards against a crash that is missed, as the replica accepts connections for a moment longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_crashes_count() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingLateOn("poison"));
+    let mut repeats = Repeats::new("/desk/poison");
+    for attempt in 0..9 {
+        // The replicas are down later and for longer.
+        tokio::time::sleep(REPEAT_INTERVAL).await;
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    repeats.assert_few_reach_replicas(&cluster);
+}
+
 /// Guards against a query that ends all its replicas in each of three attempts before it counts as
 /// their cause.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sassafrasproxy-core/src/forward/callers/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/mod.rs
@@ -30,6 +30,6 @@
 };
 pub use self::request_quarantine::{
     CrashReport, QuarantineDecision, QuarantineRecord, QuarantineRecords, QuarantineWrite,
-    ReportStep, RequestQuarantine, displaced_record,
+    ReportStep, RequestQuarantine, displaced_record, fingerprint_text,
 };
 pub use self::retry_delay::{retry_delay_ms, retry_delay_within_ms};
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_report.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_report.rs
@@ -1,5 +1,6 @@
 //! Defines the report that a replica crashed while it ran a request.
 
+use ecow::{EcoString, eco_format};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -41,3 +42,8 @@
         Self::new(fingerprint, attempt_id, "many replicas")
     }
 }
+
+/// Returns a fingerprint as logs and the store's keys show it.
+pub fn fingerprint_text(fingerprint: u64) -> EcoString {
+    eco_format!("{fingerprint:016x}")
+}
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-pub use self::crash_report::CrashReport;
+pub use self::crash_report::{CrashReport, fingerprint_text};
 use self::crash_wave::CrashWave;
 use self::recent_answers::RecentAnswers;
 pub use self::record::{QuarantineRecord, QuarantineRecords, QuarantineWrite, displaced_record};
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -101,11 +101,6 @@
         QuarantineAdmission::Admitted => {}
         QuarantineAdmission::Trial => request.progress.is_trial.set(true),
         QuarantineAdmission::Refused { retry_after_ms } => {
-            let (fingerprint, request) = (request.fingerprint, &request.attempt_id);
-            log::info!(
-                request:%, route:% = route.name, fingerprint, retry_after_ms;
-                "refused a quarantined request that crashes replicas"
-            );
             let refusal = Refusal::Quarantined;
             return Ok(refusal_answer(&traffic.metrics, refusal, Some(retry_after_ms)));
         }
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -11,7 +11,7 @@
 use sassafrasproxy_core::{
     DatagramKind, DirectoryNode, Discovery, DiscoveryEvent, DiscoveryLogEvent, Gossip,
     GossipPolicy, MemberLogEvent, RolloutCoordinator, RolloutLogEvent, RolloutParticipant,
-    RolloutPhase, TrialCount, TrialReport, ingress_nodes,
+    RolloutPhase, TrialCount, TrialReport, fingerprint_text, ingress_nodes,
 };
 use sassafrasproxy_platform::StoreError;
 use sassafrasproxy_wire::{MemberState, MemberUpdate};
@@ -495,13 +495,15 @@
             log::warn!(order_revision, store_revision; "a rollout was stopped");
         }
         DiscoveryLogEvent::QuarantineRecorded { fingerprint, is_quarantined, trials } => {
+            let fingerprint = fingerprint_text(*fingerprint);
             log::info!(
-                fingerprint, is_quarantined, trials, store_revision;
+                fingerprint:%, is_quarantined, trials, store_revision;
                 "the store has a quarantine record"
             );
         }
         DiscoveryLogEvent::QuarantineRemoved { fingerprint } => {
-            log::info!(fingerprint, store_revision; "a quarantine record was removed");
+            let fingerprint = fingerprint_text(*fingerprint);
+            log::info!(fingerprint:%, store_revision; "a quarantine record was removed");
         }
     }
 }
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod confirmation;
 mod connection_pool;
 mod control;
+mod crash_check;
 mod directory;
 mod gateway;
 mod gather;
--- a/crates/sassafrasproxy-gateway/src/quarantine.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_core::{
     CrashReport, QuarantineDecision, QuarantineRecord, QuarantineRecords, QuarantineWrite,
-    ReportStep, RequestQuarantine, US_PER_MS,
+    ReportStep, RequestQuarantine, US_PER_MS, fingerprint_text,
 };
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::timeout;
@@ -167,7 +167,10 @@
         let now_us = self.clock.now_us();
         let is_news = self.requests.borrow_mut().record_answer(now_us, fingerprint);
         if is_news {
-            log::info!(fingerprint; "a request with crash reports was answered");
+            log::info!(
+                fingerprint:% = fingerprint_text(fingerprint);
+                "a request with crash reports was answered"
+            );
             self.notify_peers(CrashNotice::Answered(fingerprint));
             self.update();
         }
@@ -176,43 +179,43 @@
     /// Decides whether a request of a caller may be sent, and asks the store for a trial if one is
     /// due.
     pub async fn admit(&self, request: &CallerRequest) -> QuarantineAdmission {
-        let (fingerprint, id) = (request.fingerprint, &request.attempt_id);
-        let decision = self.requests.borrow_mut().decide(self.clock.now_us(), fingerprint);
-        let claim = match decision {
+        let mut decision = self.decide(request);
+        if let QuarantineDecision::ClaimTrial { record, expected_revision } = decision {
+            decision = match self.claim_trial(&record, expected_revision).await {
+                true => QuarantineDecision::SendTrial,
+                false => self.decide(request),
+            };
+        }
+        let (id, fingerprint) = (&request.attempt_id, fingerprint_text(request.fingerprint));
+        let retry_after_us = match decision {
             QuarantineDecision::Send(0) => return QuarantineAdmission::Admitted,
             QuarantineDecision::Send(reports) => {
                 log::info!(
-                    request:% = id, fingerprint, reports;
+                    request:% = id, fingerprint:%, reports;
                     "let a request with crash reports through"
                 );
                 return QuarantineAdmission::Admitted;
             }
-            QuarantineDecision::Refuse { retry_after_us } => {
-                return QuarantineAdmission::Refused { retry_after_ms: retry_after_us / US_PER_MS };
-            }
-            QuarantineDecision::SendTrial => return QuarantineAdmission::Trial,
-            QuarantineDecision::ClaimTrial { record, expected_revision } => {
-                (record, expected_revision)
+            QuarantineDecision::SendTrial => {
+                log::info!(
+                    request:% = id, fingerprint:%;
+                    "let a quarantined request through as a trial"
+                );
+                return QuarantineAdmission::Trial;
             }
+            QuarantineDecision::ClaimTrial { .. } => 0,
+            QuarantineDecision::Refuse { retry_after_us } => retry_after_us,
         };
-        let (record, expected_revision) = claim;
-        if self.claim_trial(&record, expected_revision).await {
-            log::info!(
-                request:% = id, fingerprint, trials = record.trials;
-                "let a quarantined request through as a trial"
-            );
-            return QuarantineAdmission::Trial;
-        }
-        match self.requests.borrow_mut().decide(self.clock.now_us(), fingerprint) {
-            QuarantineDecision::Refuse { retry_after_us } => {
-                QuarantineAdmission::Refused { retry_after_ms: retry_after_us / US_PER_MS }
-            }
-            QuarantineDecision::Send(_) => QuarantineAdmission::Admitted,
-            QuarantineDecision::SendTrial => QuarantineAdmission::Trial,
-            QuarantineDecision::ClaimTrial { .. } => QuarantineAdmission::Refused {
-                retry_after_ms: TRIAL_CLAIM_TIMEOUT.as_millis() as u64,
-            },
-        }
+        let retry_after_ms = retry_after_us / US_PER_MS;
+        log::info!(
+            request:% = id, fingerprint:%, retry_after_ms;
+            "refused a quarantined request that crashes replicas"
+        );
+        QuarantineAdmission::Refused { retry_after_ms }
+    }
+
+    fn decide(&self, request: &CallerRequest) -> QuarantineDecision {
+        self.requests.borrow_mut().decide(self.clock.now_us(), request.fingerprint)
     }
 
     /// Returns whether no further send of a request may start.
@@ -245,24 +248,24 @@
     fn add_report(&self, peer: &str, report: CrashReport, write_delay_us: u64) -> bool {
         let now_us = self.clock.now_us();
         let step = self.requests.borrow_mut().add_report(now_us, report, write_delay_us);
-        let (fingerprint, crash) = (report.fingerprint, report.crash_id);
+        let (fingerprint, crash) = (fingerprint_text(report.fingerprint), report.crash_id);
         match step {
             ReportStep::Known => return false,
             ReportStep::Refuted { is_news } => {
                 log::info!(
-                    fingerprint, crash, peer;
+                    fingerprint:%, crash, peer;
                     "a crash report does not count, as the request was just answered"
                 );
                 if is_news {
-                    self.notify_peers(CrashNotice::Answered(fingerprint));
+                    self.notify_peers(CrashNotice::Answered(report.fingerprint));
                 }
                 return false;
             }
             ReportStep::Counted(reports) => {
-                log::info!(fingerprint, crash, peer, reports; "a crash report was added");
+                log::info!(fingerprint:%, crash, peer, reports; "a crash report was added");
             }
             ReportStep::Quarantined => {
-                log::warn!(fingerprint, crash, peer; "a request is quarantined");
+                log::warn!(fingerprint:%, crash, peer; "a request is quarantined");
             }
         }
         self.update();
--- a/crates/sassafrasproxy-gateway/src/quarantine_store.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine_store.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
-use sassafrasproxy_core::{QuarantineRecord, QuarantineWrite, displaced_record};
+use sassafrasproxy_core::{QuarantineRecord, QuarantineWrite, displaced_record, fingerprint_text};
 use sassafrasproxy_platform::{
     StoreError, StoreRequest, decode_write_status, quarantine_record_key,
 };
 use tokio::sync::mpsc;
+use tokio::sync::oneshot::Sender;
 
 use crate::control::{CALL_TIMEOUT, ControlState};
 use crate::http_client::PersistentClient;
@@ -19,7 +20,8 @@
 pub async fn run(state: Rc<ControlState>, mut calls: mpsc::UnboundedReceiver<QuarantineWriteCall>) {
     let mut client = PersistentClient::new(state.settings().store);
     while let Some(QuarantineWriteCall { write, is_accepted }) = calls.recv().await {
-        if is_accepted.as_ref().is_some_and(tokio::sync::oneshot::Sender::is_closed) {
+        // The request has stopped waiting, so it would not use the trial.
+        if is_accepted.as_ref().is_some_and(Sender::is_closed) {
             continue;
         }
         let accepted = carry_out(&state, &mut client, write).await;
@@ -94,15 +96,16 @@
     let result = client.call(request, CALL_TIMEOUT).await;
     let result = result.and_then(|(status, _)| decode_write_status(status));
     state.count_store_call("quarantine", result.as_ref().err());
+    let fingerprint = fingerprint_text(fingerprint);
     match result {
         Ok(()) => return true,
         Err(StoreError::Conflict) => {
-            log::info!(fingerprint; "a quarantine record was not written: another node was first");
+            log::info!(fingerprint:%; "a quarantine record was not written: another node was first");
         }
         Err(error) => {
             client.disconnect();
             log::warn!(
-                fingerprint, error:%;
+                fingerprint:%, error:%;
                 "writing a quarantine record failed or was not confirmed"
             );
         }
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -8,7 +8,7 @@
 use ecow::EcoString;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use sassafrasproxy_core::{CrashReport, ReportedLoad, SendId, SendOutcome, SendResult, US_PER_MS};
+use sassafrasproxy_core::{ReportedLoad, SendId, SendOutcome, SendResult, US_PER_MS};
 use sassafrasproxy_platform::{
     UpstreamHead, WorkTime, decode_upstream_head, write_upstream_headers,
 };
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::{ConnectError, UpstreamConnection, connect};
+use crate::crash_check::{CrashSign, check_for_crash};
 use crate::metrics::KindLabel;
 use crate::request::CallerRequest;
 use crate::traffic::TrafficState;
@@ -25,7 +26,7 @@
 ///
 /// Callers allow one second for their own connections; a replica that needs half of that counts
 /// as unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The time for which a new connection must stay open before it carries a non-idempotent request.
 ///
@@ -263,49 +264,6 @@
     }
 }
 
-/// The sign by which a replica may have crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CrashSign {
-    /// The connection broke before the answer was complete.
-    BrokenConnection,
-    /// No answer arrived before the timeout.
-    Silence,
-}
-
-/// Checks whether a replica that did not answer a request completely has crashed, and reports it.
-///
-/// An answer that is lost in the network also breaks the connection, and a busy replica is silent,
-/// but then the replica accepts new connections. If several replicas run the request at once, their
-/// crashes count as one. So do silent replicas, as a link of this node may be cut.
-fn check_for_crash(traffic: &Rc<TrafficState>, spec: &SendSpec, sign: CrashSign) {
-    let is_single = !spec.is_fan_out && sign == CrashSign::BrokenConnection;
-    let replica = if is_single { spec.replica.id.as_str() } else { "" };
-    let report = CrashReport::new(spec.request.fingerprint, &spec.request.attempt_id, replica);
-    let (traffic, address) = (traffic.clone(), spec.replica.address);
-    let (request, replica) = (spec.request.clone(), spec.replica.id.clone());
-    let is_fan_out = spec.is_fan_out;
-    spawn_local(async move {
-        let (id, fingerprint) = (&request.attempt_id, request.fingerprint);
-        match connect(address, CONNECT_TIMEOUT, Duration::ZERO).await {
-            Err(error) if error.is_process_gone() => {
-                log::warn!(
-                    request:% = id, replica:%, fingerprint, error:%;
-                    "a replica crashed while it ran a request"
-                );
-                traffic.quarantine.record_crash(report);
-                if is_fan_out && request.progress.record_crash() {
-                    let second = CrashReport::of_many(fingerprint, id);
-                    traffic.quarantine.record_crash(second);
-                }
-            }
-            Ok(_) | Err(_) => log::info!(
-                request:% = id, replica:%, fingerprint;
-                "a replica that did not answer still accepts connections"
-            ),
-        }
-    });
-}
-
 /// Returns a connection that is ready for a request: an idle one, or else a new one.
 async fn ready_connection(
     traffic: &TrafficState,
