Drop queued writes of quarantine records while the store does not answer

By reading, not seen: with many suspected requests and a store that is silent, writes came again every five seconds and waited up to 1.5 s each, so the queue of the control thread grew without bound. Once a write fails, those that wait are dropped; each is due again in seconds.

--- a/crates/sassafrasproxy-gateway/src/quarantine_store.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine_store.rs
@@ -24,27 +24,42 @@
         if is_accepted.as_ref().is_some_and(Sender::is_closed) {
             continue;
         }
-        let accepted = carry_out(&state, &mut client, write).await;
+        let outcome = carry_out(&state, &mut client, write).await;
         if let Some(is_accepted) = is_accepted {
             // The receiver is gone if its request has stopped waiting.
-            let _ = is_accepted.send(accepted);
+            let _ = is_accepted.send(outcome == WriteOutcome::Accepted);
+        }
+        if outcome == WriteOutcome::Failed {
+            // Calls would pile up while the store does not answer; each is due again in seconds.
+            while calls.try_recv().is_ok() {}
         }
     }
 }
 
-/// Carries out a write; returns whether the store accepted it.
+/// The outcome of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteOutcome {
+    /// The store accepted the write.
+    Accepted,
+    /// The record has another revision.
+    Conflict,
+    /// The store refused the write or did not answer.
+    Failed,
+}
+
+/// Carries out a write.
 async fn carry_out(
     state: &ControlState,
     client: &mut PersistentClient,
     write: QuarantineWrite,
-) -> bool {
+) -> WriteOutcome {
     match write {
         QuarantineWrite::Put { record, expected_revision } => {
             let records = state.discovery.borrow_mut().quarantines();
             let current = records.get(&record.fingerprint).map_or(0, |(_, revision)| *revision);
             if current > expected_revision {
                 // Another node was first, which the traffic thread is about to see.
-                return false;
+                return WriteOutcome::Conflict;
             }
             if current == 0
                 && let Some((displaced, revision)) = displaced_record(&records)
@@ -64,12 +79,12 @@
     client: &mut PersistentClient,
     record: &QuarantineRecord,
     expected_revision: u64,
-) -> bool {
+) -> WriteOutcome {
     let value = match serde_json::to_vec(record) {
         Ok(value) => value,
         Err(error) => {
             log::error!(error:%; "cannot encode a quarantine record");
-            return false;
+            return WriteOutcome::Failed;
         }
     };
     let values = [(quarantine_record_key(record.fingerprint), value)];
@@ -82,7 +97,7 @@
     client: &mut PersistentClient,
     fingerprint: u64,
     revision: u64,
-) -> bool {
+) -> WriteOutcome {
     let key = quarantine_record_key(fingerprint);
     call(state, client, StoreRequest::remove_if_revision(revision, &key), fingerprint).await
 }
@@ -92,15 +107,16 @@
     client: &mut PersistentClient,
     request: StoreRequest,
     fingerprint: u64,
-) -> bool {
+) -> WriteOutcome {
     let result = client.call(request, CALL_TIMEOUT).await;
     let result = result.and_then(|(status, _)| decode_write_status(status));
     state.count_store_call("quarantine", result.as_ref().err());
     let fingerprint = fingerprint_text(fingerprint);
     match result {
-        Ok(()) => return true,
+        Ok(()) => WriteOutcome::Accepted,
         Err(StoreError::Conflict) => {
             log::info!(fingerprint:%; "a quarantine record was not written: another node was first");
+            WriteOutcome::Conflict
         }
         Err(error) => {
             client.disconnect();
@@ -108,7 +124,7 @@
                 fingerprint:%, error:%;
                 "writing a quarantine record failed or was not confirmed"
             );
+            WriteOutcome::Failed
         }
     }
-    false
 }
