--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -3,7 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use sassafrasproxy_core::{
-    Catalogue, Discovery, DiscoveryEvent, NodeRegistration, RegistryEntry, RegistryKey,
+    Catalogue, Discovery, DiscoveryEvent, NodeRegistration, QuarantineRecord, RegistryEntry,
+    RegistryKey,
 };
 use sassafrasproxy_wire::{MemberState, MemberUpdate, ReplicaEntry, RouteConfiguration};
 
@@ -256,3 +257,56 @@
     discovery.step(2, DiscoveryEvent::PeerEntries { entries: peer.entries(), revision: 7 });
     assert!(discovery.is_registered("vm-1"));
 }
+
+fn quarantine_seen(trials: usize, revision: u64) -> DiscoveryEvent {
+    let record =
+        QuarantineRecord { fingerprint: 7, is_quarantined: true, crash_ids: vec![1, 2, 3], trials };
+    DiscoveryEvent::EntrySeen { entry: RegistryEntry::Quarantine(record), revision }
+}
+
+/// Returns the trials of the quarantined request; `None` if there is no record of it.
+fn recorded_trials(discovery: &mut Discovery) -> Option<usize> {
+    discovery.quarantines().get(&7).map(|(record, _)| record.trials)
+}
+
+/// Guards against a record of a quarantine that is missed, comes back after its removal, or goes
+/// back to an older one, so that a request that crashes replicas is let in again.
+#[test]
+fn quarantine_follows_store() {
+    let mut discovery = listed_discovery();
+    discovery.take_catalogue();
+    discovery.step(0, quarantine_seen(0, 8));
+    let catalogue = discovery.take_catalogue().unwrap();
+    assert!(catalogue.quarantines.contains_key(&7));
+    discovery.step(0, quarantine_seen(1, 9));
+    discovery.step(0, quarantine_seen(0, 8));
+    assert_eq!(recorded_trials(&mut discovery), Some(1));
+    let removed =
+        |revision| DiscoveryEvent::EntryRemoved { key: RegistryKey::Quarantine(7), revision };
+    discovery.step(0, removed(8));
+    assert_eq!(recorded_trials(&mut discovery), Some(1), "removed before it was written again");
+    discovery.step(0, removed(10));
+    assert_eq!(recorded_trials(&mut discovery), None);
+    discovery.step(0, quarantine_seen(1, 11));
+    discovery.step(0, DiscoveryEvent::ListStarted { revision: 12 });
+    assert_eq!(recorded_trials(&mut discovery), Some(1), "the list has not come to it");
+    discovery.step(0, DiscoveryEvent::ListEnded);
+    assert_eq!(recorded_trials(&mut discovery), None);
+}
+
+/// Guards against a node that starts from a peer, or follows one, and is not told of a quarantine.
+#[test]
+fn peers_pass_quarantines_on() {
+    let mut peer = listed_discovery();
+    peer.step(0, quarantine_seen(0, 8));
+    let changes = peer.changes_after(7).unwrap();
+    assert!(changes.updated.iter().any(|(entry, _)| entry.key() == RegistryKey::Quarantine(7)));
+    let mut started = Discovery::default();
+    started.step(0, DiscoveryEvent::PeerEntries { entries: peer.entries(), revision: 8 });
+    assert_eq!(recorded_trials(&mut started), Some(0));
+    peer.step(0, DiscoveryEvent::EntryRemoved { key: RegistryKey::Quarantine(7), revision: 9 });
+    let changes = peer.changes_after(8).unwrap();
+    assert_eq!(changes.removed, [(RegistryKey::Quarantine(7), 9)]);
+    started.step(0, DiscoveryEvent::PeerEntries { entries: peer.entries(), revision: 9 });
+    assert_eq!(recorded_trials(&mut started), None);
+}
--- a/crates/sassafrasproxy-core/tests/gossip_traffic.rs
+++ b/crates/sassafrasproxy-core/tests/gossip_traffic.rs
@@ -7,6 +7,7 @@
 
 use nodes::Fleet;
 use rate_limit_model::{DAYS, Way, random_scenario, simulate};
+use sassafrasproxy_core::CrashReport;
 
 /// The maximum number of bytes that a node may send in five idle seconds: 1 KB per second.
 const MAX_IDLE_BYTES: usize = 5 * 1_024;
@@ -97,6 +98,34 @@
     }
 }
 
+/// The maximum number of bytes that a node sends to pass on a crash report and an answer, whatever
+/// the size of the fleet: 20 bytes each, in 24 datagrams.
+const MAX_CRASH_NOTICE_BYTES: usize = 2 * 20 * 24;
+
+/// Guards against notices of crashes and answers whose traffic per node grows with the fleet.
+#[test]
+fn crash_notice_traffic() {
+    for size in [8, 200, 1_000] {
+        let mut fleet = Fleet::with_domains(size, 6, |_| 500);
+        fleet.run_s(20);
+        fleet.take_total_sent();
+        fleet.run_s(10);
+        let idle = fleet.take_total_sent();
+        let report = CrashReport::new(7, "a1", "r1");
+        let now_us = fleet.now_us;
+        let sends = fleet.nodes[3].report_crash(now_us, report);
+        fleet.deliver(3, sends);
+        let sends = fleet.nodes[4].announce_answer(now_us, 7);
+        fleet.deliver(4, sends);
+        fleet.run_s(10);
+        let all = fleet.take_total_sent();
+        let more = all.bytes.saturating_sub(idle.bytes) / size;
+        println!("{size} nodes: {more} bytes per node for a crash report and an answer");
+        assert!(more <= MAX_CRASH_NOTICE_BYTES, "{more} bytes per node at {size}");
+        assert!(fleet.max_datagram_bytes <= 1_200, "{} bytes", fleet.max_datagram_bytes);
+    }
+}
+
 /// The maximum number of token datagrams that a node may send in a second: asks, of which one is
 /// allowed each 10 ms, and as many answers.
 const MAX_TOKEN_DATAGRAMS_PER_S: u64 = 200;
--- a/crates/sassafrasproxy-core/tests/peer_datagrams.rs
+++ b/crates/sassafrasproxy-core/tests/peer_datagrams.rs
@@ -5,7 +5,7 @@
 mod nodes;
 
 use nodes::Fleet;
-use sassafrasproxy_core::{PeerDatagram, WorkReport};
+use sassafrasproxy_core::{AnsweredRequest, PeerDatagram, WorkReport};
 
 fn datagram() -> PeerDatagram {
     let mut fleet = Fleet::new(3);
@@ -40,3 +40,20 @@
     // Levels are nine hundredths apart.
     assert!(f64::from(fleet.nodes[0].work_millis()) <= 1.1 * f64::from(all_millis));
 }
+
+/// Guards against nodes that refuse the datagrams of builds with notices of answers, or send such
+/// notices in a way that hides the rest of the datagram.
+#[test]
+fn nodes_without_answer_notices() {
+    let sent = datagram();
+    let answered_requests = vec![AnsweredRequest { fingerprint: 7, answer_id: 9 }];
+    let with_notice = PeerDatagram { answered_requests, ..sent.clone() };
+    let bytes = with_notice.encode().unwrap();
+    assert_eq!(PeerDatagram::decode(&bytes).unwrap(), with_notice);
+    // A build without the notices reads the work and ignores what follows it.
+    let without_length = sent.encode().unwrap().len();
+    let work_length = postcard::to_stdvec(&sent.work).unwrap().len();
+    let rest = &bytes[without_length - work_length..];
+    assert_eq!(postcard::from_bytes::<WorkReport>(rest).unwrap(), sent.work);
+    assert_eq!(PeerDatagram::decode(&bytes[..without_length]).unwrap(), sent);
+}
--- a/crates/sassafrasproxy-soak/src/cluster.rs
+++ b/crates/sassafrasproxy-soak/src/cluster.rs
@@ -13,6 +13,7 @@
 };
 use serde_json::json;
 
+use crate::crashing_request::{CRASHING_TEXT, Disturbances};
 use crate::keys::{KEY_PREFIX, Key};
 use crate::schedule::Fault;
 
@@ -51,6 +52,10 @@
     pub replicas: Vec<ReplicaStandIn>,
     /// The replicas of the single service's new version, which fail every second request.
     pub failing_version_replicas: Vec<ReplicaStandIn>,
+    /// The replicas that crash on one request; no proxy hides that they are gone.
+    pub crashing_replicas: Vec<ReplicaStandIn>,
+    /// The disturbances of the gateways and of the store so far.
+    pub disturbances: Disturbances,
     /// The proxy in front of each replica.
     replica_proxies: Vec<FaultProxy>,
     /// The proxy between each gateway and the store.
@@ -85,6 +90,11 @@
             replica.set_mode(ReplicaMode::FailingEveryNth(2));
             replica.with_version("v2")
         });
+        let crashing_replicas = ["c0", "c1"].map(|id| {
+            let replica = ReplicaStandIn::start(id, "crash", "found");
+            replica.set_mode(ReplicaMode::CrashingOn(CRASHING_TEXT));
+            replica
+        });
         let store = StoreStandIn::start();
         let mut cluster = Self {
             binary: binary.to_path_buf(),
@@ -98,6 +108,8 @@
             store,
             replicas,
             failing_version_replicas: failing_version.into(),
+            crashing_replicas: crashing_replicas.into(),
+            disturbances: Disturbances::default(),
             gateways: Vec::new(),
             addresses: Arc::default(),
             configuration_version: 0,
@@ -108,6 +120,9 @@
         for index in 0..REPLICA_COUNT {
             cluster.register_replica(index, "ready");
         }
+        for (replica, failure_domain) in cluster.crashing_replicas.iter().zip(["west", "east"]) {
+            replica.register(&cluster.store, failure_domain, "ready");
+        }
         for index in 0..gateway_count {
             let gateway = cluster.start_gateway(index)?;
             cluster.addresses.lock().unwrap().push(gateway.callers_address());
@@ -176,6 +191,7 @@
     ///
     /// Returns an error if a gateway can't be signalled or restarted.
     pub async fn apply_fault(&mut self, fault: &Fault) -> Result<()> {
+        self.disturbances.record_fault(fault);
         match *fault {
             Fault::Kill(index) => {
                 self.gateways[index].signal(Signal::SIGKILL)?;
@@ -271,6 +287,7 @@
         let proxies =
             self.replica_proxies.iter().chain(&self.store_proxies).chain(&self.relay_proxies);
         proxies.for_each(|proxy| proxy.set_mode(FaultProxyMode::PassThrough));
+        (0..self.gateways.len()).for_each(|index| self.disturbances.record_calm(index));
         self.gateways.iter().try_for_each(|gateway| gateway.signal(Signal::SIGCONT))
     }
 
@@ -343,7 +360,13 @@
         let services = (0..SHARD_COUNT).map(|shard| format!("shard-{shard}")).collect();
         let gather = DeclaredTarget::Gather { services, top_k: 2, min_coverage: 0.5 };
         let desk = DeclaredTarget::Service("desk".into());
-        let routes = [("all", true, gather), ("one", true, desk.clone()), ("order", false, desk)];
+        let crash = DeclaredTarget::Service("crash".into());
+        let routes = [
+            ("all", true, gather),
+            ("one", true, desk.clone()),
+            ("order", false, desk),
+            ("crash", true, crash),
+        ];
         let routes = routes.map(|(name, is_idempotent, target)| DeclaredRoute {
             name: name.into(),
             host: "soak.example".into(),
--- a/crates/sassafrasproxy-soak/src/lib.rs
+++ b/crates/sassafrasproxy-soak/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod checker;
 mod cluster;
+mod crashing_request;
 mod keys;
 mod schedule;
 
@@ -16,6 +17,7 @@
 
 use crate::checker::{CallerReport, Checker};
 use crate::cluster::Cluster;
+use crate::crashing_request::CrashingCaller;
 use crate::schedule::FaultSchedule;
 
 /// The settings of one soak.
@@ -67,6 +69,8 @@
             tokio::spawn(checker.clone().run_caller(caller, cluster.addresses(), CALLER_INTERVAL))
         })
         .collect();
+    let crashing_caller = CrashingCaller::default();
+    let crashing_task = tokio::spawn(crashing_caller.clone().run(cluster.addresses()));
     let start = Instant::now();
     for scheduled in schedule.faults {
         tokio::time::sleep(scheduled.offset.saturating_sub(start.elapsed())).await;
@@ -80,11 +84,14 @@
     cluster.rolling_restart().await?;
     let receives_requests = cluster.receives_requests_after_drain(0, DRAIN_LIMIT).await;
     checker.stop();
+    crashing_caller.stop();
+    crashing_task.await?;
     for caller in callers {
         caller.await?;
     }
     let CallerReport { mut violations, status_counts } = checker.report();
     violations.extend(checker.check_replicas(&cluster));
+    violations.extend(crashing_caller.check(&cluster.crashing_replicas, &cluster.disturbances));
     if receives_requests {
         violations.push("a draining replica got new requests after the drain limit".into());
     }
