Refuse a request that crashes replicas again after an answer refuted its record

By reading: between an answer and the removal of the record, a request that had crashed three more replicas could claim a trial by the refuted record. It is refused until the store has a record of the new crashes; crashes_after_refuted_record.

--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
@@ -176,7 +176,8 @@
             return QuarantineDecision::Send(self.report_count());
         }
         let refuse = |retry_after_us| QuarantineDecision::Refuse { retry_after_us };
-        let Some(known) = &mut self.record else { return refuse(FIRST_TRIAL_DELAY_US) };
+        let known = self.record.as_mut().filter(|known| !known.is_refuted);
+        let Some(known) = known else { return refuse(FIRST_TRIAL_DELAY_US) };
         if std::mem::take(&mut known.has_trial) {
             return QuarantineDecision::SendTrial;
         }
--- a/crates/sassafrasproxy-core/tests/request_quarantine.rs
+++ b/crates/sassafrasproxy-core/tests/request_quarantine.rs
@@ -130,6 +130,27 @@
     assert_eq!(started.add_report(0, report(crashing, 2), 0), ReportStep::Quarantined);
 }
 
+/// Guards against a trial by a record that an answer has refuted, of a request that has crashed
+/// three replicas since.
+#[test]
+fn crashes_after_refuted_record() {
+    let crashing = fingerprint("/x/1");
+    let mut quarantine = RequestQuarantine::default();
+    quarantine.set_records(0, &records(record(crashing, 0), 7), || 0);
+    quarantine.record_answer(0, crashing);
+    let later_us = 60 * SECOND_US;
+    (3..6).for_each(|attempt| {
+        quarantine.add_report(later_us, report(crashing, attempt), 0);
+    });
+    let decision = quarantine.decide(later_us, crashing);
+    assert!(matches!(decision, QuarantineDecision::Refuse { .. }), "{decision:?}");
+    quarantine.set_records(later_us, &QuarantineRecords::new(), || 0);
+    assert!(quarantine.is_quarantined(crashing));
+    let writes = quarantine.take_due_writes(later_us);
+    let is_created = matches!(&writes[..], [QuarantineWrite::Put { expected_revision: 0, .. }]);
+    assert!(is_created, "{writes:?}");
+}
+
 /// Guards against a caller that waits longer than reports count, so that none are ever enough.
 #[test]
 fn slow_repeats() {
