--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
@@ -4,6 +4,7 @@
 mod crash_wave;
 mod recent_answers;
 mod record;
+mod refuted_reports;
 mod tracked_request;
 
 use indexmap::IndexMap;
@@ -12,6 +13,7 @@
 use self::crash_wave::CrashWave;
 use self::recent_answers::RecentAnswers;
 pub use self::record::{QuarantineRecord, QuarantineRecords, QuarantineWrite, displaced_record};
+use self::refuted_reports::RefutedReports;
 use self::tracked_request::TrackedRequest;
 
 /// The number of crash reports from which a request is quarantined.
@@ -49,6 +51,7 @@
     /// The requests that have crash reports or a record, by fingerprint.
     requests: IndexMap<u64, TrackedRequest>,
     recent_answers: RecentAnswers,
+    refuted_reports: RefutedReports,
     crash_wave: CrashWave,
 }
 
@@ -107,7 +110,11 @@
         write_delay_us: u64,
     ) -> ReportStep {
         let fingerprint = report.fingerprint;
+        if self.refuted_reports.contains(now_us, report.crash_id) {
+            return ReportStep::Known;
+        }
         if self.recent_answers.contains(now_us, fingerprint) {
+            self.refuted_reports.insert(now_us, [report.crash_id]);
             return ReportStep::Refuted {
                 is_news: self.recent_answers.announce(now_us, fingerprint),
             };
@@ -140,7 +147,7 @@
         let is_suspected =
             self.requests.get(&fingerprint).is_some_and(|tracked| tracked.report_count() > 0);
         if is_suspected {
-            self.refute(fingerprint, now_us);
+            self.refute(now_us, fingerprint, now_us);
             self.recent_answers.announce(now_us, fingerprint);
         }
         is_suspected
@@ -152,7 +159,7 @@
     pub fn record_peer_answer(&mut self, now_us: u64, fingerprint: u64, write_delay_us: u64) {
         self.recent_answers.insert(now_us, fingerprint);
         self.recent_answers.announce(now_us, fingerprint);
-        self.refute(fingerprint, now_us + write_delay_us);
+        self.refute(now_us, fingerprint, now_us + write_delay_us);
     }
 
     /// Replaces the records of the store by the current ones.
@@ -177,7 +184,7 @@
             tracked.set_record(now_us, record, *revision, delay_us);
             // The record was on its way while the request was answered.
             if self.recent_answers.contains(now_us, *fingerprint) {
-                tracked.refute(now_us + delay_us);
+                self.refuted_reports.insert(now_us, tracked.refute(now_us + delay_us));
             }
         }
     }
@@ -232,9 +239,9 @@
         self.requests.values().filter(|tracked| tracked.is_quarantined()).count()
     }
 
-    fn refute(&mut self, fingerprint: u64, removal_due_us: u64) {
+    fn refute(&mut self, now_us: u64, fingerprint: u64, removal_due_us: u64) {
         let Some(tracked) = self.requests.get_mut(&fingerprint) else { return };
-        tracked.refute(removal_due_us);
+        self.refuted_reports.insert(now_us, tracked.refute(removal_due_us));
         if tracked.is_empty() {
             self.requests.shift_remove(&fingerprint);
         }
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
@@ -96,16 +96,17 @@
         self.write_due_us = Some(self.write_due_us.map_or(due_us, |known_us| known_us.min(due_us)));
     }
 
-    /// Drops the reports, as the request was answered; the record, if any, is to be removed at a
-    /// time, in microseconds.
-    pub fn refute(&mut self, removal_due_us: u64) {
-        self.expiries_us.clear();
+    /// Drops the reports, as the request was answered, and returns their crash ids; the record, if
+    /// any, is to be removed at a time, in microseconds.
+    pub fn refute(&mut self, removal_due_us: u64) -> Vec<u64> {
+        let crash_ids = self.expiries_us.drain(..).map(|(crash_id, _)| crash_id).collect();
         self.is_quarantined = false;
         self.write_due_us = None;
         if let Some(known) = &mut self.record {
             known.is_refuted = true;
             self.write_due_us = Some(removal_due_us);
         }
+        crash_ids
     }
 
     /// Applies the record of the store, unless it is known.
--- a/crates/sassafrasproxy-core/tests/request_quarantine.rs
+++ b/crates/sassafrasproxy-core/tests/request_quarantine.rs
@@ -184,6 +184,24 @@
     assert_eq!(step, ReportStep::Counted(1), "the request may crash replicas by now");
 }
 
+/// Guards against late copies of a report, which peers pass on for seconds, that count as new
+/// crashes or are answered with a notice each.
+#[test]
+fn copies_of_refuted_reports() {
+    let popular = fingerprint("/x/1");
+    let mut quarantine = RequestQuarantine::default();
+    quarantine.add_report(0, report(popular, 0), 0);
+    quarantine.record_answer(0, popular);
+    quarantine.add_report(SECOND_US, report(popular, 1), 0);
+    for second in [1, 2, 10, 25] {
+        for attempt in 0..2 {
+            let step = quarantine.add_report(second * SECOND_US, report(popular, attempt), 0);
+            assert_eq!(step, ReportStep::Known, "report {attempt} after {second} s");
+        }
+    }
+    assert_eq!(quarantine.decide(25 * SECOND_US, popular), QuarantineDecision::Send(0));
+}
+
 /// Guards against a node that refuses a request which a peer saw answered.
 #[test]
 fn peer_answers_end_suspicion() {
