--- a/crates/sassafrasproxy-soak/src/crashing_request.rs
+++ b/crates/sassafrasproxy-soak/src/crashing_request.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Returns a violation if too many attempts of gateways in touch reached replicas after the
+    /// Returns a violation if too many attempts of undisturbed gateways reached replicas after the
     /// third crash.
     pub fn check(
         &self,
@@ -97,13 +97,13 @@
         let attempts = self.attempts.lock().unwrap();
         let is_counted = |attempt: &&Attempt| {
             later.contains(&attempt.id)
-                && disturbances.is_in_touch(attempt.gateway, attempt.sent_at)
+                && disturbances.is_undisturbed(attempt.gateway, attempt.sent_at)
         };
         let counted: Vec<&Attempt> = attempts.iter().filter(is_counted).collect();
         (counted.len() > MAX_LATER_ATTEMPTS).then(|| {
             format!(
-                "a request that crashes replicas reached them in {} more attempts of gateways in \
-                 touch, {} sends in all: {counted:?}",
+                "a request that crashes replicas reached them in {} more attempts of undisturbed \
+                 gateways, {} sends in all: {counted:?}",
                 counted.len(),
                 received.len()
             )
@@ -185,7 +185,7 @@
     }
 
     /// Returns whether nothing had disturbed a gateway for [`CONTACT_TIME`] at a moment.
-    fn is_in_touch(&self, gateway: usize, at: Instant) -> bool {
+    fn is_undisturbed(&self, gateway: usize, at: Instant) -> bool {
         [Scope::Pause(gateway), Scope::StoreWay(gateway), Scope::Store].into_iter().all(|scope| {
             let of_scope = self.disturbances.iter().filter(|event| event.scope == scope);
             let last = of_scope.take_while(|event| event.at <= at).last();
