Refuse requests that a leaving node may not live to answer, and answer the rest

Cause: the time to accept requests (0.55 of the grace) and the time to cut them off (0.93) knew nothing of a request's deadline, and the end of the drain was the end of the process. Evidence: the log of the leaving node ends with `the grace time is over; in-flight requests are cut off`, requests 3, and no send of the lost orders failed.

Change: `Drain` in core decides on each request of a leaving node. A non-idempotent one is taken only if its deadline passes before the drain ends, an idempotent one if twice its usual time fits; others get 503 `leaving` before anything is sent, with Retry-After 0 while another node is known. At the end of the drain the requests in flight get final answers, 502 if they were sent and 503 if not. Related: a leaving node waited for its own callers only and cut off relay calls; it ends them now.

It works as no request is taken whose end is not before the node's own.

--- a/crates/sassafrasproxy-cli/tests/gateway_relays.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_relays.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use sassafrasproxy_platform_standin::{CallerAnswer, ReplicaMode, send_get};
+use sassafrasproxy_platform_standin::{CallerAnswer, ReplicaMode, ReplicaStandIn, send_get};
 
 use crate::gateway::{Cluster, HOST, SHARD_COUNT, WAIT_TIMEOUT, record, unique_attempt_id};
 
@@ -83,6 +83,28 @@
     }
 }
 
+/// Guards against parts that a leaving relay cuts off, as it waits for its own callers only.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_relay_ends_its_calls() {
+    let mut cluster = start_two_domains().await;
+    cluster.set_modes(ReplicaMode::Answering(700));
+    let before = relayed_sends(&cluster).await;
+    let address = cluster.gateways[0].callers_address();
+    let attempt_id = unique_attempt_id();
+    let query = send_get(address, HOST, "/all/7", &attempt_id, 2_000);
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(relayed_sends(&cluster).await > before, "nothing was relayed");
+        cluster.gateways[1].signal(Signal::SIGTERM).unwrap();
+    };
+    let (answer, ()) = tokio::join!(query, leave);
+    let answer = answer.unwrap();
+    assert!(is_complete_answer(&answer), "{answer:?}");
+    let cancelled = cluster.replicas.iter().map(ReplicaStandIn::cancelled_count).sum::<usize>();
+    assert_eq!(cancelled, 0, "sends that the relay cut off");
+    assert!(cluster.gateways[1].wait_for_exit().unwrap().success());
+}
+
 /// Guards against queries that keep failing while a relay is paused.
 ///
 /// The connection to a paused relay stays open but delivers no replies. Once the stall is detected,
--- a/crates/sassafrasproxy-gateway/src/answer.rs
+++ b/crates/sassafrasproxy-gateway/src/answer.rs
@@ -37,6 +37,8 @@
     NoConfiguration,
     /// The request was not run, because it has crashed replicas before.
     Quarantined,
+    /// The request was not run, because this node is leaving and may not live to answer it.
+    Leaving,
     /// The request was not run and may be sent again.
     NotRun,
     /// The request may have run, but no answer arrived in time.
@@ -58,6 +60,7 @@
             Self::TooLarge => "too_large",
             Self::NoConfiguration => "no_configuration",
             Self::Quarantined => "crashes_replicas",
+            Self::Leaving => "leaving",
             Self::NotRun => "not_run",
             Self::TimedOut => "timed_out",
             Self::Lost => "lost",
@@ -75,6 +78,7 @@
             | Self::KeyMaybeNew
             | Self::KeyMaybeRemoved
             | Self::Quarantined
+            | Self::Leaving
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -20,8 +20,8 @@
 use crate::metrics::{AnswerLabels, RouteLabel};
 use crate::quarantine::QuarantineAdmission;
 use crate::rate_limits::{RateAdmission, RequestToken, TokenTurn, admit};
-use crate::request::{CallerRequest, RequestAccount};
-use crate::traffic::TrafficState;
+use crate::request::{Arrival, CallerRequest, RequestAccount, RequestProgress};
+use crate::traffic::{ActiveRequestGuard, TrafficState};
 use crate::{gather, single_replica};
 
 /// The retry delay for callers of a node that has no configuration yet, in milliseconds.
@@ -35,9 +35,14 @@
     traffic: Rc<TrafficState>,
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
-    traffic.active_requests.set(traffic.active_requests.get() + 1);
-    let _active = ActiveRequestGuard { traffic: traffic.clone() };
-    let mut answer = match answer(&traffic, request).await {
+    let _active = ActiveRequestGuard::new(traffic.clone());
+    let progress = Rc::new(RequestProgress::default());
+    let answered = tokio::select! {
+        answered = answer(&traffic, request, progress.clone()) => answered,
+        // Dropping the request has stopped its sends.
+        () = traffic.wait_until_given_up() => Err(give_up(&progress)),
+    };
+    let mut answer = match answered {
         Ok(answer) => answer,
         Err(refusal) => {
             let retry_after_ms = match refusal {
@@ -45,6 +50,7 @@
                     traffic.configuration_needed.send_replace(true);
                     Some(NO_CONFIGURATION_RETRY_MS)
                 }
+                Refusal::Leaving => Some(traffic.leaving_retry_delay_ms()),
                 // A retry would not help, or the delay is already in the answer.
                 Refusal::BadRequest
                 | Refusal::NoRoute
@@ -61,24 +67,22 @@
             refusal_answer(&traffic.metrics, refusal, retry_after_ms)
         }
     };
-    if traffic.is_leaving.get() {
+    if traffic.is_leaving() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
 }
 
-/// Counts a request as active until dropped, also if its caller disconnects.
-struct ActiveRequestGuard {
-    traffic: Rc<TrafficState>,
-}
-
-impl Drop for ActiveRequestGuard {
-    fn drop(&mut self) {
-        self.traffic.active_requests.set(self.traffic.active_requests.get() - 1);
-    }
+/// Returns the final answer to a request that has not ended within the grace time of this node.
+fn give_up(progress: &RequestProgress) -> Refusal {
+    if progress.is_sent() { Refusal::Lost } else { Refusal::Leaving }
 }
 
-async fn answer(traffic: &Rc<TrafficState>, request: Request<Incoming>) -> Result<Answer, Refusal> {
+async fn answer(
+    traffic: &Rc<TrafficState>,
+    request: Request<Incoming>,
+    progress: Rc<RequestProgress>,
+) -> Result<Answer, Refusal> {
     let arrived_us = traffic.clock.now_us();
     let catalogue = traffic.catalogue();
     if catalogue.version == 0 {
@@ -95,8 +99,16 @@
         Err(refusal) => return Ok(refusal),
     };
     let AdmittedCaller { version, route, account, token, elapsed_us } = caller;
-    let request = CallerRequest::new(head, account, token, parts, body, arrived_us, elapsed_us);
+    let arrival = Arrival { arrived_us, elapsed_us };
+    let request = CallerRequest::new(head, account, token, parts, body, arrival, progress);
     let request = Rc::new(request);
+    if !traffic.can_answer_before_leaving(&request, &route) {
+        log::info!(
+            request:% = request.attempt_id, route:% = route.name;
+            "refused a request that may not end before this node does"
+        );
+        return Err(Refusal::Leaving);
+    }
     match traffic.quarantine.admit(&request).await {
         QuarantineAdmission::Admitted => {}
         QuarantineAdmission::Trial => request.progress.is_trial.set(true),
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::answer::Answer;
 use crate::confirmation::ViewConfirmation;
@@ -36,20 +36,12 @@
 /// The idle timeout of connections on the directory, readiness and metrics listeners.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The fraction of the grace time in which a leaving node still accepts connections.
-///
-/// By the end of that time most callers have asked the directory again; the others get a refused
-/// connection and use another node at once.
-const ACCEPT_FRACTION: f64 = 0.55;
-
-/// The fraction of the grace time after which a leaving node cuts off in-flight requests.
-const DRAIN_END_FRACTION: f64 = 0.93;
-
 /// The interval at which a leaving node checks whether its requests have completed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The time for the last answer to leave the process after its request has completed.
-const FLUSH_DELAY: Duration = Duration::from_millis(50);
+/// Twice the time for the last answers to leave the process, in microseconds, unless the grace time
+/// leaves less.
+const MAX_FLUSH_US: u64 = 100_000;
 
 /// An error that keeps a gateway from running.
 #[derive(Debug, Error)]
@@ -273,25 +265,28 @@
 /// Shuts down gracefully within the grace time.
 ///
 /// Accepts connections while callers get other nodes' addresses from the directory, then stops
-/// accepting and waits for in-flight requests.
+/// accepting and waits for in-flight requests. Those that have not ended in time get their final
+/// answers.
 async fn shut_down(traffic: &TrafficState, stop: &watch::Sender<bool>) {
-    let grace = Duration::from_millis(traffic.settings().grace_ms);
-    traffic.is_leaving.set(true);
-    sleep(grace.mul_f64(ACCEPT_FRACTION)).await;
+    let drain = traffic.start_drain();
+    traffic.sleep_until(drain.accept_until_us).await;
     stop.send_replace(true);
+    let flush_us = (drain.end_us - drain.answer_until_us).min(MAX_FLUSH_US) / 2;
     let drained = async {
         // Idle connections are closed by now: an open one carries a request or is receiving one.
         while traffic.active_requests.get() > 0 || traffic.open_connections.get() > 0 {
             sleep(DRAIN_CHECK_INTERVAL).await;
         }
-        sleep(FLUSH_DELAY).await;
+        sleep(Duration::from_micros(flush_us)).await;
     };
-    let drain_timeout = grace.mul_f64(DRAIN_END_FRACTION - ACCEPT_FRACTION);
-    if tokio::time::timeout(drain_timeout, drained).await.is_err() {
+    let left_us = drain.answer_until_us.saturating_sub(traffic.clock.now_us());
+    if timeout(Duration::from_micros(left_us), drained).await.is_err() {
         log::warn!(
             requests = traffic.active_requests.get();
-            "the grace time is over; in-flight requests are cut off"
+            "the grace time is over; in-flight requests are given up"
         );
+        traffic.give_up_requests();
+        sleep(Duration::from_micros(flush_us)).await;
     }
 }
 
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -20,7 +20,7 @@
 
 use crate::metrics::KindLabel;
 use crate::request::{CallerRequest, RequestAccount, RequestProgress};
-use crate::traffic::TrafficState;
+use crate::traffic::{ActiveRequestGuard, TrafficState};
 use crate::upstream::{SendSpec, SendTasks, UpstreamResult, start_send};
 
 /// The time for which a finished part waits for others, to be merged into the same reply.
@@ -82,6 +82,7 @@
                         let (traffic, reply_sender, finished_sender) =
                             (traffic.clone(), reply_sender.clone(), finished_sender.clone());
                         let task = spawn_local(async move {
+                            let _active = ActiveRequestGuard::new(traffic.clone());
                             serve_relay_call(traffic, call, reply_sender).await;
                             // The channel is closed if the connection has ended.
                             let _ = finished_sender.send(id);
@@ -230,7 +231,7 @@
         deadline_us: arrived_us + call.remaining_us,
         elapsed_before_arrival_us: 0,
         fingerprint: call.fingerprint,
-        progress: RequestProgress::default(),
+        progress: Rc::new(RequestProgress::default()),
     })
 }
 
--- a/crates/sassafrasproxy-gateway/src/request.rs
+++ b/crates/sassafrasproxy-gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Holds a caller's request and computes its deadlines.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -52,7 +53,7 @@
     /// The hash of the request's host, method, path and body.
     pub fingerprint: u64,
     /// What the sends of the request have shown so far.
-    pub progress: RequestProgress,
+    pub progress: Rc<RequestProgress>,
 }
 
 /// What the sends of a request have shown so far on this node.
@@ -60,6 +61,8 @@
 pub struct RequestProgress {
     /// Whether this is the trial of a quarantined request, which is sent once.
     pub is_trial: Cell<bool>,
+    /// Whether the request has been passed on to a replica or a relay.
+    is_sent: Cell<bool>,
     /// Whether a replica has run the request, or may have.
     may_have_run: Cell<bool>,
     /// Whether a replica has answered the request.
@@ -69,6 +72,11 @@
 }
 
 impl RequestProgress {
+    /// Returns whether the request has been passed on to a replica or a relay.
+    pub fn is_sent(&self) -> bool {
+        self.is_sent.get()
+    }
+
     /// Records the result of a send.
     pub fn record_result(&self, result: SendResult) {
         match result {
@@ -94,6 +102,15 @@
     }
 }
 
+/// When a request arrived.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// The time at which the request arrived, in microseconds of this node's clock.
+    pub arrived_us: u64,
+    /// The time from the caller's start of the request to its arrival, in microseconds.
+    pub elapsed_us: u64,
+}
+
 /// The client account that a request belongs to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RequestAccount {
@@ -117,15 +134,15 @@
 }
 
 impl CallerRequest {
-    /// Creates a request that arrived at `now_us`.
+    /// Creates a request that has been read completely.
     pub fn new(
         head: CallerHead,
         account: RequestAccount,
         token: Option<RequestToken>,
         parts: http::request::Parts,
         body: Bytes,
-        now_us: u64,
-        elapsed_before_arrival_us: u64,
+        Arrival { arrived_us, elapsed_us }: Arrival,
+        progress: Rc<RequestProgress>,
     ) -> Self {
         let method = parts.method.as_str();
         let fingerprint = CrashReport::fingerprint(&head.host, method, parts.uri.path(), &body);
@@ -142,7 +159,7 @@
             }
         }
         let deadline_us = match head.deadline_ms {
-            Some(deadline_ms) => now_us + deadline_ms * US_PER_MS,
+            Some(deadline_ms) => arrived_us + deadline_ms * US_PER_MS,
             None => u64::MAX,
         };
         Self {
@@ -153,16 +170,17 @@
             uri: parts.uri,
             headers,
             body,
-            arrived_us: now_us,
+            arrived_us,
             deadline_us,
-            elapsed_before_arrival_us,
+            elapsed_before_arrival_us: elapsed_us,
             fingerprint,
-            progress: RequestProgress::default(),
+            progress,
         }
     }
 
     /// Records that a replica may get the request from now on, so that its token is spent.
     pub fn mark_sent(&self) {
+        self.progress.is_sent.set(true);
         if let Some(token) = &self.token {
             token.spend();
         }
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -10,12 +10,12 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CallerDelayEstimator, Catalogue, Fanout, FetchPlan, PoolSettings, PreconnectStep, Preconnector,
-    ReportThrottle, RetryBudget, RetryBudgetPolicy, RouteLatencies, SendCause, SendTiming,
-    TrialReport, US_PER_MS, UpstreamPool, WeightedRoundRobin, budget_shares, directory_addresses,
-    ingress_nodes, route_class,
+    CallerDelayEstimator, Catalogue, DirectoryNode, Drain, DrainDecision, DrainRequest, Fanout,
+    FetchPlan, PoolSettings, PreconnectStep, Preconnector, ReportThrottle, RetryBudget,
+    RetryBudgetPolicy, RouteLatencies, SendCause, SendTiming, TrialReport, US_PER_MS, UpstreamPool,
+    WeightedRoundRobin, budget_shares, directory_addresses, ingress_nodes, route_class,
 };
-use sassafrasproxy_wire::{ReplicaEntry, Route, RouteTarget, WeightedService};
+use sassafrasproxy_wire::{MemberState, ReplicaEntry, Route, RouteTarget, WeightedService};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -69,9 +69,11 @@
     split_round_robins: RefCell<IndexMap<EcoString, WeightedRoundRobin>>,
     /// Notified when this node takes part in the trial of a version.
     trial_started: Notify,
-    /// Whether this node is leaving and callers should use other nodes.
-    pub is_leaving: Cell<bool>,
-    /// The number of requests in progress.
+    /// The shutdown of this node; `None` until it is told to leave.
+    drain: Cell<Option<Drain>>,
+    /// Notified when the requests in progress must get their final answers at once.
+    requests_given_up: Notify,
+    /// The number of requests and relay calls in progress.
     pub active_requests: Cell<usize>,
     /// The number of open caller connections that shutdown waits for.
     pub open_connections: Cell<usize>,
@@ -124,7 +126,8 @@
             route_latencies: RefCell::default(),
             split_round_robins: RefCell::default(),
             trial_started: Notify::new(),
-            is_leaving: Cell::new(false),
+            drain: Cell::new(None),
+            requests_given_up: Notify::new(),
             active_requests: Cell::new(0),
             open_connections: Cell::new(0),
             max_node_count: Cell::new(ASSUMED_MIN_NODES),
@@ -201,6 +204,57 @@
         sleep(Duration::from_micros(at_us.saturating_sub(self.clock.now_us()))).await;
     }
 
+    /// Starts the shutdown of this node, from when on callers should use other nodes.
+    pub fn start_drain(&self) -> Drain {
+        let drain = Drain::start(self.clock.now_us(), self.settings().grace_ms * US_PER_MS);
+        self.drain.set(Some(drain));
+        drain
+    }
+
+    /// Whether this node is leaving and callers should use other nodes.
+    pub fn is_leaving(&self) -> bool {
+        self.drain.get().is_some()
+    }
+
+    /// Gives up the requests in progress, which get their final answers.
+    pub fn give_up_requests(&self) {
+        self.requests_given_up.notify_waiters();
+    }
+
+    /// Waits until the requests in progress are given up.
+    pub async fn wait_until_given_up(&self) {
+        self.requests_given_up.notified().await;
+    }
+
+    /// Whether this node stays, or can still answer a request before its grace time is over.
+    pub fn can_answer_before_leaving(&self, request: &CallerRequest, route: &Route) -> bool {
+        let Some(drain) = self.drain.get() else { return true };
+        let request = DrainRequest {
+            deadline_us: request.answer_deadline_us(route),
+            expected_us: self.fetch_plan(route).expected_us,
+            is_idempotent: route.is_idempotent,
+        };
+        match drain.decide(self.clock.now_us(), request) {
+            DrainDecision::Serve => true,
+            DrainDecision::Refuse => false,
+        }
+    }
+
+    /// Returns the time after which a request that this node refuses as it is leaving can be served,
+    /// in milliseconds: at once by another node, or else after the end of this process.
+    pub fn leaving_retry_delay_ms(&self) -> u64 {
+        let is_usable = |node: &DirectoryNode| {
+            node.state == MemberState::Alive && node.address != self.callers_address
+        };
+        let has_other_node = self.view.borrow().nodes.iter().any(is_usable);
+        match self.drain.get() {
+            Some(drain) if !has_other_node => {
+                drain.end_us.saturating_sub(self.clock.now_us()).div_ceil(US_PER_MS)
+            }
+            Some(_) | None => 0,
+        }
+    }
+
     /// Returns the limits of a fetch of a route, derived from the measured latencies of the route.
     pub fn fetch_plan(&self, route: &Route) -> FetchPlan {
         let goal_us = route.goal_ms * US_PER_MS;
@@ -375,6 +429,25 @@
     }
 }
 
+/// Counts a request or a relay call as active until dropped, also if its caller disconnects.
+pub struct ActiveRequestGuard {
+    traffic: Rc<TrafficState>,
+}
+
+impl ActiveRequestGuard {
+    /// Counts a request or a relay call.
+    pub fn new(traffic: Rc<TrafficState>) -> Self {
+        traffic.active_requests.set(traffic.active_requests.get() + 1);
+        Self { traffic }
+    }
+}
+
+impl Drop for ActiveRequestGuard {
+    fn drop(&mut self) {
+        self.traffic.active_requests.set(self.traffic.active_requests.get() - 1);
+    }
+}
+
 fn pool_settings(settings: &GatewaySettings) -> PoolSettings {
     PoolSettings {
         failure_domain: settings.failure_domain.clone(),
