Tell a request that crashes replicas from others of its path

Cause: the fingerprint left out the query and the client account, so that answers to sound queries refuted the reports on the crashing one, and its reports condemned them.

Change: reports and answers count for the exact request, with query and account. So that a parameter that changes with each repeat is no escape, a crash is also reported for what requests share: the path, and the path with each parameter. There three different requests are needed, a second apart, and any answer with that part refutes it. The path's hash is that of earlier builds, whose records and reports are honoured.

Tests, on the code before: crashing_query_beside_sound_ones (7 attempts after the third crash), crashing_fan_out_beside_sound_ones (5) and crashing_query_spares_its_path (503 for sound queries) fail. It works as the part that is in each crash and in no answer is what crashes replicas; what an answer contains is acquitted.

--- a/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_crashes.rs
@@ -187,6 +187,60 @@
     }
 }
 
+/// Guards against a crashing query that is never quarantined, as sound queries of the same path are
+/// answered meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_query_beside_sound_ones() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("sku=666"));
+    let mut repeats = Repeats::new("/desk/find?sku=666");
+    for attempt in 0..9 {
+        repeats.ask(&cluster, attempt % 3).await;
+        for gateway in 0..3 {
+            let sound = format!("/desk/find?sku={attempt}");
+            cluster.ask_until(gateway, &sound, |answer| answer.status == 200).await;
+        }
+    }
+    repeats.assert_few_reach_replicas(&cluster);
+}
+
+/// Guards against sound queries that are refused because another query of the path crashed replicas
+/// while none of them ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_query_spares_its_path() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("sku=666"));
+    let mut repeats = Repeats::new("/desk/find?sku=666");
+    for attempt in 0..6 {
+        repeats.ask(&cluster, attempt % 3).await;
+    }
+    tokio::time::sleep(REPEAT_INTERVAL).await;
+    for gateway in 0..3 {
+        for sku in 0..5 {
+            let answer = cluster.ask(gateway, &format!("/desk/find?sku={sku}")).await;
+            assert_eq!(answer.status, 200, "a sound query at gateway {gateway}");
+        }
+        assert_eq!(cluster.ask(gateway, "/desk/find?sku=666").await.status, 503);
+    }
+}
+
+/// Guards against a crashing query that is never quarantined when relays send its parts, as sound
+/// queries of the same path are answered meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_fan_out_beside_sound_ones() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("sku=666"));
+    let mut repeats = Repeats::new("/all/find?sku=666");
+    for attempt in 0..6 {
+        repeats.ask(&cluster, attempt % 3).await;
+        for gateway in 0..3 {
+            let sound = format!("/all/find?sku={attempt}");
+            cluster.ask_until(gateway, &sound, |answer| answer.status == 200).await;
+        }
+    }
+    repeats.assert_few_reach_replicas(&cluster);
+}
+
 /// Repeats the request on three nodes, and then on three that start one after the other.
 async fn assert_started_nodes_know(cluster: &mut Cluster, repeats: &mut Repeats) {
     cluster.set_modes(ReplicaMode::CrashingOn("poison"));
--- a/crates/sassafrasproxy-core/src/forward/callers/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/mod.rs
@@ -32,7 +32,8 @@
     ExtraSends, LoadLevel, NodeAdmission, RefusalCause,
 };
 pub use self::request_quarantine::{
-    CrashReport, QuarantineDecision, QuarantineRecord, QuarantineRecords, QuarantineWrite,
-    ReportStep, RequestQuarantine, displaced_record, fingerprint_text,
+    CrashReport, FingerprintedRequest, QuarantineDecision, QuarantineRecord, QuarantineRecords,
+    QuarantineWrite, ReportStep, RequestFingerprints, RequestQuarantine, displaced_record,
+    fingerprint_text,
 };
 pub use self::retry_delay::{retry_delay_ms, retry_delay_within_ms};
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_report.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_report.rs
@@ -2,28 +2,29 @@
 
 use ecow::{EcoString, eco_format};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::fingerprints::hash_parts;
+
+/// The bits of a crash id that mark the report on a shared fingerprint.
+const SHARED_MARK_BITS: u64 = 0xffff_ffff_0000_0000;
 
 /// A report that a replica crashed while it ran a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct CrashReport {
-    /// A hash of the request's host, method, path and body; the same for all callers.
+    /// The exact fingerprint of the request, or one that it shares with others.
     pub fingerprint: u64,
     /// The identity of the crash: a hash of the attempt id, and of the replica if an attempt is
-    /// sent to one replica at a time.
+    /// sent to one replica at a time. In a report on a shared fingerprint, the identity of the
+    /// request, with a mark.
     pub crash_id: u64,
 }
 
 impl CrashReport {
     /// Returns the hash of a request's host, method, path and body.
     pub fn fingerprint(host: &str, method: &str, path: &str, body: &[u8]) -> u64 {
-        let mut hash = Xxh3::new();
-        for part in [host.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
-            hash.update(&part.len().to_le_bytes());
-            hash.update(part);
-        }
-        hash.digest()
+        hash_parts([host.as_bytes(), method.as_bytes(), path.as_bytes(), body])
     }
 
     /// Creates the report of a replica's crash during an attempt.
@@ -41,6 +42,24 @@
         // No replica has this name, as ids have no spaces.
         Self::new(fingerprint, attempt_id, "many replicas")
     }
+
+    /// Creates the report on a fingerprint that a request shares with others.
+    ///
+    /// All crashes under the same request count once: only different requests that crash replicas
+    /// show that what they share is the cause.
+    pub fn of_shared(fingerprint: u64, exact_fingerprint: u64) -> Self {
+        let crash_id = shared_mark(fingerprint) | exact_fingerprint & !SHARED_MARK_BITS;
+        Self { fingerprint, crash_id }
+    }
+
+    /// Returns whether the report is on a fingerprint that the request shares with others.
+    pub fn is_shared(&self) -> bool {
+        self.crash_id & SHARED_MARK_BITS == shared_mark(self.fingerprint)
+    }
+}
+
+fn shared_mark(fingerprint: u64) -> u64 {
+    xxh3_64(&fingerprint.to_le_bytes()) & SHARED_MARK_BITS
 }
 
 /// Returns a fingerprint as logs and the store's keys show it.
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_wave.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/crash_wave.rs
@@ -28,14 +28,20 @@
 impl CrashWave {
     /// Records a report on a request.
     pub fn record(&mut self, now_us: u64, fingerprint: u64) {
-        while self.reports.len() >= MAX_REPORTS
-            || self.reports.front().is_some_and(|(at_us, _)| at_us + WINDOW_US < now_us)
-        {
+        self.drop_old(now_us);
+        if self.reports.len() >= MAX_REPORTS {
             self.reports.pop_front();
         }
         self.reports.push_back((now_us, fingerprint));
     }
 
+    /// Drops the reports before the window.
+    pub fn drop_old(&mut self, now_us: u64) {
+        while self.reports.front().is_some_and(|(at_us, _)| at_us + WINDOW_US < now_us) {
+            self.reports.pop_front();
+        }
+    }
+
     /// Returns whether replicas crashed under many different requests around the last report.
     pub fn is_running(&self) -> bool {
         self.request_count() >= MIN_REQUESTS
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
@@ -2,6 +2,7 @@
 
 mod crash_report;
 mod crash_wave;
+mod fingerprints;
 mod recent_answers;
 mod record;
 mod refuted_reports;
@@ -11,6 +12,7 @@
 
 pub use self::crash_report::{CrashReport, fingerprint_text};
 use self::crash_wave::CrashWave;
+pub use self::fingerprints::{FingerprintedRequest, RequestFingerprints};
 use self::recent_answers::RecentAnswers;
 pub use self::record::{QuarantineRecord, QuarantineRecords, QuarantineWrite, displaced_record};
 use self::refuted_reports::RefutedReports;
@@ -124,10 +126,16 @@
         }
         let tracked = self.requests.entry(fingerprint).or_default();
         tracked.expire(now_us);
-        if !tracked.add_report(now_us, report.crash_id, write_delay_us) {
+        let is_new = match report.is_shared() {
+            true => tracked.add_shared_report(now_us, report.crash_id, write_delay_us),
+            false => tracked.add_report(now_us, report.crash_id, write_delay_us),
+        };
+        if !is_new {
             return ReportStep::Known;
         }
-        self.crash_wave.record(now_us, fingerprint);
+        if !report.is_shared() {
+            self.crash_wave.record(now_us, fingerprint);
+        }
         let is_uncertain = match self.recent_answers.is_complete(now_us) {
             true => self.crash_wave.is_running(),
             false => self.crash_wave.is_possible(),
@@ -140,8 +148,8 @@
         ReportStep::Counted(tracked.report_count())
     }
 
-    /// Records that a replica answered a request; returns whether this ends a suspicion, so that
-    /// peers must be told.
+    /// Records that a replica answered a request with a fingerprint; returns whether this ends a
+    /// suspicion, so that peers must be told.
     pub fn record_answer(&mut self, now_us: u64, fingerprint: u64) -> bool {
         self.recent_answers.insert(now_us, fingerprint);
         let is_suspected =
@@ -153,6 +161,21 @@
         is_suspected
     }
 
+    /// Records that a replica answered a request; returns the fingerprints on which this ends a
+    /// suspicion, so that peers must be told.
+    pub fn record_request_answer(
+        &mut self,
+        now_us: u64,
+        fingerprints: &RequestFingerprints,
+    ) -> Vec<u64> {
+        // The shared fingerprints of a remembered request are remembered too.
+        if self.requests.is_empty() && self.recent_answers.is_current(now_us, fingerprints.exact) {
+            return Vec::new();
+        }
+        let fingerprints = fingerprints.all();
+        fingerprints.filter(|fingerprint| self.record_answer(now_us, *fingerprint)).collect()
+    }
+
     /// Records that a replica answered a request of a peer, which drops the reports on it.
     ///
     /// `write_delay_us` is the time for which this node waits for that peer to remove the record.
@@ -189,7 +212,25 @@
         }
     }
 
-    /// Decides whether a request of a caller may be sent.
+    /// Decides whether a request of a caller may be sent; returns the fingerprint that decides too.
+    pub fn decide_on_request(
+        &mut self,
+        now_us: u64,
+        fingerprints: &RequestFingerprints,
+    ) -> (u64, QuarantineDecision) {
+        let mut max_reports = 0;
+        for fingerprint in fingerprints.all() {
+            match self.decide(now_us, fingerprint) {
+                QuarantineDecision::Send(reports) => max_reports = reports.max(max_reports),
+                decision @ (QuarantineDecision::SendTrial
+                | QuarantineDecision::ClaimTrial { .. }
+                | QuarantineDecision::Refuse { .. }) => return (fingerprint, decision),
+            }
+        }
+        (fingerprints.exact, QuarantineDecision::Send(max_reports))
+    }
+
+    /// Decides by one fingerprint of a request whether it may be sent.
     pub fn decide(&mut self, now_us: u64, fingerprint: u64) -> QuarantineDecision {
         let Some(tracked) = self.requests.get_mut(&fingerprint) else {
             return QuarantineDecision::Send(0);
@@ -203,6 +244,11 @@
     }
 
     /// Returns whether sends of a request that is no trial must stop.
+    pub fn is_request_quarantined(&self, fingerprints: &RequestFingerprints) -> bool {
+        fingerprints.all().any(|fingerprint| self.is_quarantined(fingerprint))
+    }
+
+    /// Returns whether requests with a fingerprint are quarantined.
     pub fn is_quarantined(&self, fingerprint: u64) -> bool {
         self.requests.get(&fingerprint).is_some_and(TrackedRequest::is_quarantined)
     }
@@ -234,6 +280,13 @@
             .collect()
     }
 
+    /// Returns whether replicas crash under many requests at this moment, so that what these share
+    /// tells nothing.
+    pub fn sees_crash_wave(&mut self, now_us: u64) -> bool {
+        self.crash_wave.drop_old(now_us);
+        self.crash_wave.is_running()
+    }
+
     /// Returns the number of quarantined requests.
     pub fn quarantined_count(&self) -> usize {
         self.requests.values().filter(|tracked| tracked.is_quarantined()).count()
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/recent_answers.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/recent_answers.rs
@@ -8,8 +8,8 @@
 /// elsewhere while a failure domain is lost gets no crash report.
 const MIN_RETENTION_US: u64 = 2_000_000;
 
-/// The maximum number of answered requests that are remembered in each half.
-const MAX_ANSWERED_REQUESTS: usize = 2_048;
+/// The maximum number of fingerprints that are remembered in each half.
+const MAX_ANSWERED_REQUESTS: usize = 8_192;
 
 /// The minimum interval between notices of answers to the same request, in microseconds.
 const ANNOUNCEMENT_INTERVAL_US: u64 = 250_000;
@@ -55,6 +55,12 @@
         self.current.contains(&fingerprint) || self.previous.contains(&fingerprint)
     }
 
+    /// Returns whether a request was answered so recently that another answer adds nothing.
+    pub fn is_current(&mut self, now_us: u64, fingerprint: u64) -> bool {
+        self.drop_old(now_us);
+        self.current.contains(&fingerprint)
+    }
+
     /// Records that peers are told of the answer to a request; returns whether they were not just
     /// now.
     pub fn announce(&mut self, now_us: u64, fingerprint: u64) -> bool {
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
@@ -15,12 +15,17 @@
 /// The retry delay of a request that gets no trial any more, in microseconds.
 const NO_TRIAL_RETRY_US: u64 = 3_600_000_000;
 
+/// The minimum interval between reports that count on a shared fingerprint, in microseconds.
+const SHARED_REPORT_INTERVAL_US: u64 = 1_000_000;
+
 /// A request with crash reports or a record.
 #[derive(Debug, Default)]
 pub struct TrackedRequest {
     /// The expiry of each report, by crash id; those of a quarantined request do not expire.
     expiries_us: IndexMap<u64, u64>,
     is_quarantined: bool,
+    /// The time until which no further report on a shared fingerprint counts, in microseconds.
+    shared_pause_until_us: u64,
     record: Option<KnownRecord>,
     /// The time of the next write of the record, in microseconds; `None` if none is needed.
     write_due_us: Option<u64>,
@@ -82,6 +87,18 @@
         is_new
     }
 
+    /// Adds the report of a crash on a fingerprint that requests share; returns whether it is new.
+    ///
+    /// Crashes at the same time count once: a failure domain that is lost ends replicas under many
+    /// requests that share a path.
+    pub fn add_shared_report(&mut self, now_us: u64, crash_id: u64, write_delay_us: u64) -> bool {
+        if now_us < self.shared_pause_until_us || self.expiries_us.contains_key(&crash_id) {
+            return false;
+        }
+        self.shared_pause_until_us = now_us + SHARED_REPORT_INTERVAL_US;
+        self.add_report(now_us, crash_id, write_delay_us)
+    }
+
     /// Quarantines the request; returns whether it was not before.
     pub fn quarantine(&mut self, now_us: u64, write_delay_us: u64) -> bool {
         if self.is_quarantined {
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -111,15 +111,15 @@
     }
     match traffic.quarantine.admit(&request).await {
         QuarantineAdmission::Admitted => {}
-        QuarantineAdmission::Trial => request.progress.is_trial.set(true),
+        QuarantineAdmission::Trial { fingerprint } => request.progress.begin_trial(fingerprint),
         QuarantineAdmission::Refused { retry_after_ms } => {
             let refusal = Refusal::Quarantined;
             return Ok(refusal_answer(&traffic.metrics, refusal, Some(retry_after_ms)));
         }
     }
     let answer = serve_route(traffic, &request, &route).await;
-    if request.progress.is_trial.get() {
-        traffic.quarantine.finish_trial(&request);
+    if let Some(fingerprint) = request.progress.trial_fingerprint() {
+        traffic.quarantine.finish_trial(&request, fingerprint);
     }
     let answer = answer?;
     record_answer(traffic, &request, &route, version, &answer);
--- a/crates/sassafrasproxy-gateway/src/crash_check.rs
+++ b/crates/sassafrasproxy-gateway/src/crash_check.rs
@@ -51,7 +51,11 @@
         request: spec.request.clone(),
         replica: spec.replica.id.clone(),
         address: spec.replica.address,
-        report: CrashReport::new(spec.request.fingerprint, &spec.request.attempt_id, replica),
+        report: CrashReport::new(
+            spec.request.fingerprints.exact,
+            &spec.request.attempt_id,
+            replica,
+        ),
         sign,
         is_fan_out: spec.is_fan_out,
     };
@@ -95,6 +99,7 @@
             "a replica crashed while it ran a request"
         );
         traffic.quarantine.record_crash(self.report);
+        traffic.quarantine.record_shared_crash(&self.request.fingerprints);
         if self.is_fan_out && self.request.progress.record_crash() {
             traffic.quarantine.record_crash(CrashReport::of_many(fingerprint, id));
         }
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -110,7 +110,7 @@
             return admission::build_refusal(traffic, &request, route, &replicas, refusal);
         }
     };
-    let excluded = match request.progress.is_trial.get() {
+    let excluded = match request.progress.is_trial() {
         true => all_shards_but_one(target.services.len()),
         false => choose_excluded_shards(traffic, &request, route, target),
     };
@@ -188,7 +188,7 @@
         let plan = GatherPlan {
             shards,
             // A trial waits for its only part, although that makes no answer.
-            min_parts: if request.progress.is_trial.get() { 1 } else { required_parts },
+            min_parts: if request.progress.is_trial() { 1 } else { required_parts },
             soft_deadline_us: GatherPlan::soft_deadline_us(
                 request.started_us(),
                 goal_us,
--- a/crates/sassafrasproxy-gateway/src/quarantine.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_core::{
     CrashReport, QuarantineDecision, QuarantineRecord, QuarantineRecords, QuarantineWrite,
-    ReportStep, RequestQuarantine, US_PER_MS, fingerprint_text,
+    ReportStep, RequestFingerprints, RequestQuarantine, US_PER_MS, fingerprint_text,
 };
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::timeout;
@@ -60,8 +60,11 @@
 pub enum QuarantineAdmission {
     /// The request may be sent as usual.
     Admitted,
-    /// The request may be sent once, as the trial of a quarantined request.
-    Trial,
+    /// The request may be sent once, as the trial of a quarantined fingerprint.
+    Trial {
+        /// The fingerprint.
+        fingerprint: u64,
+    },
     /// The request is refused.
     Refused {
         /// The time after which it may be tried again, in milliseconds.
@@ -162,31 +165,45 @@
         }
     }
 
+    /// Records the crash of a replica for what the request shares with others, unless replicas crash
+    /// for a reason of their own.
+    pub fn record_shared_crash(&self, fingerprints: &RequestFingerprints) {
+        if self.requests.borrow_mut().sees_crash_wave(self.clock.now_us()) {
+            return;
+        }
+        for fingerprint in &fingerprints.shared {
+            self.record_crash(CrashReport::of_shared(*fingerprint, fingerprints.exact));
+        }
+    }
+
     /// Records that a replica answered a request.
-    pub fn record_answer(&self, fingerprint: u64) {
+    pub fn record_answer(&self, fingerprints: &RequestFingerprints) {
         let now_us = self.clock.now_us();
-        let is_news = self.requests.borrow_mut().record_answer(now_us, fingerprint);
-        if is_news {
+        let refuted = self.requests.borrow_mut().record_request_answer(now_us, fingerprints);
+        if refuted.is_empty() {
+            return;
+        }
+        for fingerprint in refuted {
             log::info!(
                 fingerprint:% = fingerprint_text(fingerprint);
                 "a request with crash reports was answered"
             );
             self.notify_peers(CrashNotice::Answered(fingerprint));
-            self.update();
         }
+        self.update();
     }
 
     /// Decides whether a request of a caller may be sent, and asks the store for a trial if one is
     /// due.
     pub async fn admit(&self, request: &CallerRequest) -> QuarantineAdmission {
-        let mut decision = self.decide(request);
+        let (mut decisive, mut decision) = self.decide(request);
         if let QuarantineDecision::ClaimTrial { record, expected_revision } = decision {
-            decision = match self.claim_trial(&record, expected_revision).await {
-                true => QuarantineDecision::SendTrial,
+            (decisive, decision) = match self.claim_trial(&record, expected_revision).await {
+                true => (decisive, QuarantineDecision::SendTrial),
                 false => self.decide(request),
             };
         }
-        let (id, fingerprint) = (&request.attempt_id, fingerprint_text(request.fingerprint));
+        let (id, fingerprint) = (&request.attempt_id, fingerprint_text(decisive));
         let retry_after_us = match decision {
             QuarantineDecision::Send(0) => return QuarantineAdmission::Admitted,
             QuarantineDecision::Send(reports) => {
@@ -201,7 +218,7 @@
                     request:% = id, fingerprint:%;
                     "let a quarantined request through as a trial"
                 );
-                return QuarantineAdmission::Trial;
+                return QuarantineAdmission::Trial { fingerprint: decisive };
             }
             QuarantineDecision::ClaimTrial { .. } => 0,
             QuarantineDecision::Refuse { retry_after_us } => retry_after_us,
@@ -214,20 +231,23 @@
         QuarantineAdmission::Refused { retry_after_ms }
     }
 
-    fn decide(&self, request: &CallerRequest) -> QuarantineDecision {
-        self.requests.borrow_mut().decide(self.clock.now_us(), request.fingerprint)
+    /// Decides on a request; returns the fingerprint that decides too.
+    fn decide(&self, request: &CallerRequest) -> (u64, QuarantineDecision) {
+        let now_us = self.clock.now_us();
+        self.requests.borrow_mut().decide_on_request(now_us, &request.fingerprints)
     }
 
     /// Returns whether no further send of a request may start.
     pub fn stops_sends(&self, request: &CallerRequest) -> bool {
-        !request.progress.is_trial.get()
-            && self.requests.borrow().is_quarantined(request.fingerprint)
+        !request.progress.is_trial()
+            && self.requests.borrow().is_request_quarantined(&request.fingerprints)
     }
 
-    /// Records the end of a trial, which may be tried again if no replica can have run it.
-    pub fn finish_trial(&self, request: &CallerRequest) {
+    /// Records the end of a fingerprint's trial, which may be tried again if no replica can have run
+    /// it.
+    pub fn finish_trial(&self, request: &CallerRequest, fingerprint: u64) {
         if !request.progress.may_have_run() {
-            self.requests.borrow_mut().return_trial(request.fingerprint);
+            self.requests.borrow_mut().return_trial(fingerprint);
         }
     }
 
--- a/crates/sassafrasproxy-gateway/src/relay_call.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_call.rs
@@ -161,7 +161,7 @@
             guard.finish(outcome, reported_load);
             spec.request.progress.record_result(result);
             if result == SendResult::Answered {
-                traffic.quarantine.record_answer(spec.request.fingerprint);
+                traffic.quarantine.record_answer(&spec.request.fingerprints);
                 traffic.record_latency(&spec.route, elapsed_us);
             }
             parts.push(RelayPartResult { shard: part.shard_index, result, stamp });
@@ -208,7 +208,7 @@
         headers: headers.collect(),
         body: request.body.to_vec(),
         remaining_us,
-        fingerprint: request.fingerprint,
+        fingerprint: request.fingerprints.exact,
         top_k: spec.top_k,
         parts: parts.collect(),
     }
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -8,7 +8,8 @@
 use futures_util::{SinkExt, StreamExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use indexmap::IndexMap;
-use sassafrasproxy_core::{SendId, SendTiming, merge_records};
+use sassafrasproxy_core::{RequestFingerprints, SendId, SendTiming, merge_records};
+use sassafrasproxy_platform::decode_caller_head;
 use sassafrasproxy_wire::{
     RelayCall, RelayPart, RelayPartOutcome, RelayReply, RelayReplyPart, RelayRequest,
 };
@@ -19,7 +20,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::metrics::KindLabel;
-use crate::request::{CallerRequest, RequestAccount, RequestProgress};
+use crate::request::{CallerRequest, RequestAccount, RequestProgress, fingerprinted_request};
 use crate::traffic::{ActiveRequestGuard, TrafficState};
 use crate::upstream::{SendSpec, SendTasks, UpstreamResult, start_send};
 
@@ -218,19 +219,25 @@
         headers.append(name, HeaderValue::from_bytes(value).ok()?);
     }
     let arrived_us = traffic.clock.now_us();
+    let head = decode_caller_head(&headers).ok()?;
+    let method = Method::from_bytes(call.method.as_bytes()).ok()?;
+    let uri = call.uri.parse::<Uri>().ok()?;
+    // The ingress node has hashed the client account with the rest.
+    let fingerprinted = fingerprinted_request(&head.host, &method, &uri, &call.body, "");
+    let fingerprints = RequestFingerprints::with_exact(call.fingerprint, &fingerprinted);
     Some(CallerRequest {
         attempt_id: call.attempt_id.clone(),
         // The ingress node has authenticated the caller, set the headers and taken a token.
         account: RequestAccount::NotLookedUp,
         token: None,
-        method: Method::from_bytes(call.method.as_bytes()).ok()?,
-        uri: call.uri.parse::<Uri>().ok()?,
+        method,
+        uri,
         headers,
         body: Bytes::from(call.body.clone()),
         arrived_us,
         deadline_us: arrived_us + call.remaining_us,
         elapsed_before_arrival_us: 0,
-        fingerprint: call.fingerprint,
+        fingerprints,
         progress: Rc::new(RequestProgress::default()),
     })
 }
--- a/crates/sassafrasproxy-gateway/src/request.rs
+++ b/crates/sassafrasproxy-gateway/src/request.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use ecow::EcoString;
 use http::{HeaderMap, Method, Uri};
-use sassafrasproxy_core::{CrashReport, SendResult, US_PER_MS};
+use sassafrasproxy_core::{FingerprintedRequest, RequestFingerprints, SendResult, US_PER_MS};
 use sassafrasproxy_platform::{CallerHead, is_forwarded, replace_credentials};
 use sassafrasproxy_wire::{ClientAccount, Route};
 
@@ -50,8 +50,8 @@
     pub deadline_us: u64,
     /// The time from the caller's start of the request to its arrival, in microseconds.
     pub elapsed_before_arrival_us: u64,
-    /// The hash of the request's host, method, path and body.
-    pub fingerprint: u64,
+    /// The hashes by which the quarantine knows the request.
+    pub fingerprints: RequestFingerprints,
     /// What the sends of the request have shown so far.
     pub progress: Rc<RequestProgress>,
 }
@@ -59,8 +59,8 @@
 /// What the sends of a request have shown so far on this node.
 #[derive(Debug, Default)]
 pub struct RequestProgress {
-    /// Whether this is the trial of a quarantined request, which is sent once.
-    pub is_trial: Cell<bool>,
+    /// The quarantined fingerprint whose trial this is; such a request is sent once.
+    trial_fingerprint: Cell<Option<u64>>,
     /// Whether the request has been passed on to a replica or a relay.
     is_sent: Cell<bool>,
     /// Whether a replica has run the request, or may have.
@@ -72,6 +72,21 @@
 }
 
 impl RequestProgress {
+    /// Makes the request the trial of a quarantined fingerprint.
+    pub fn begin_trial(&self, fingerprint: u64) {
+        self.trial_fingerprint.set(Some(fingerprint));
+    }
+
+    /// Returns the quarantined fingerprint whose trial this is.
+    pub fn trial_fingerprint(&self) -> Option<u64> {
+        self.trial_fingerprint.get()
+    }
+
+    /// Returns whether this is the trial of a quarantined request.
+    pub fn is_trial(&self) -> bool {
+        self.trial_fingerprint.get().is_some()
+    }
+
     /// Returns whether the request has been passed on to a replica or a relay.
     pub fn is_sent(&self) -> bool {
         self.is_sent.get()
@@ -144,8 +159,10 @@
         Arrival { arrived_us, elapsed_us }: Arrival,
         progress: Rc<RequestProgress>,
     ) -> Self {
-        let method = parts.method.as_str();
-        let fingerprint = CrashReport::fingerprint(&head.host, method, parts.uri.path(), &body);
+        let account_name = account.account().map_or("", |account| account.name.as_str());
+        let fingerprinted =
+            fingerprinted_request(&head.host, &parts.method, &parts.uri, &body, account_name);
+        let fingerprints = RequestFingerprints::new(&fingerprinted);
         let mut headers = parts.headers;
         let dropped: Vec<_> = headers.keys().filter(|name| !is_forwarded(name)).cloned().collect();
         for name in dropped {
@@ -173,7 +190,7 @@
             arrived_us,
             deadline_us,
             elapsed_before_arrival_us: elapsed_us,
-            fingerprint,
+            fingerprints,
             progress,
         }
     }
@@ -213,3 +230,16 @@
         timeout_us.min(self.deadline_us.saturating_sub(reserve_us))
     }
 }
+
+/// Returns the parts of a request that its fingerprints are made of; `account` is empty if there is
+/// none.
+pub fn fingerprinted_request<'a>(
+    host: &'a str,
+    method: &'a Method,
+    uri: &'a Uri,
+    body: &'a [u8],
+    account: &'a str,
+) -> FingerprintedRequest<'a> {
+    let query = uri.query().unwrap_or("");
+    FingerprintedRequest { host, method: method.as_str(), path: uri.path(), query, body, account }
+}
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -282,7 +282,7 @@
     /// Limits the attempts of a fetch to one if the request is a trial, and to none if it has been
     /// quarantined since it was admitted.
     pub fn limit_attempts(&self, request: &CallerRequest, plan: &mut FetchPlan) {
-        if request.progress.is_trial.get() {
+        if request.progress.is_trial() {
             plan.max_attempts = 1;
         } else if self.quarantine.stops_sends(request) {
             plan.max_attempts = 0;
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -187,7 +187,7 @@
             traffic.record_latency(&spec.route, traffic.clock.now_us() - started_us);
         }
         if let UpstreamResult::Answered(_) = result {
-            traffic.quarantine.record_answer(spec.request.fingerprint);
+            traffic.quarantine.record_answer(&spec.request.fingerprints);
         }
         guard.finish(result.outcome(), result.reported_load());
         on_result(result);
--- a/crates/sassafrasproxy-wire/src/relay.rs
+++ b/crates/sassafrasproxy-wire/src/relay.rs
@@ -39,7 +39,8 @@
     pub body: Vec<u8>,
     /// The time that remains until the deadline, in microseconds.
     pub remaining_us: u64,
-    /// The fingerprint of the request: a hash of its host, method, path and body.
+    /// The exact fingerprint of the request: a hash of its host, method, path, query, body and client
+    /// account. A node of an earlier build leaves out the query and the account.
     pub fingerprint: u64,
     /// The number of top records that the answer needs.
     pub top_k: usize,
