Bound what an answer without end takes from a node

What callers saw: one replica of five that sends bytes without end made a node of 10 MB grow to 1.2 to 1.7 GB, enough to end a small VM; interim answers without end kept the processor, so that requests to other replicas were late or failed.

Cause: a body was collected until its end, and interim answers parsed without a pause; nothing limited what is read from a server.

Change: a connection to a replica, the store or a peer reads at most what its caller allows, whatever is sent. One body has `answers.max_bytes`, all together `answers.max_in_flight_bytes`; over that the largest one being read is given up (`AnswerMemory` in core). The request goes on as after any lost answer. Counted as `answers_over_limit_total`, logged with the limit. Related: the store's and peers' answers, and the product's own upstreams and platform.

It works as the limit stands where bytes are read, so that no form of an answer goes round it.

--- a/crates/sassafrasproxy-config/src/gateway_settings.rs
+++ b/crates/sassafrasproxy-config/src/gateway_settings.rs
@@ -27,6 +27,13 @@
 /// The maximum of `accounts.revoke_ms`: a day.
 const MAX_REVOKE_MS: u64 = 86_400_000;
 
+/// The default and the minimum of `answers.max_bytes`.
+const DEFAULT_ANSWER_BYTES: usize = 4 << 20;
+const MIN_ANSWER_BYTES: usize = 1 << 10;
+
+/// The default of `answers.max_in_flight_bytes`.
+const DEFAULT_IN_FLIGHT_BYTES: usize = 32 << 20;
+
 /// The checked settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -76,6 +83,27 @@
     /// The time in which changed keys of client accounts take effect; `None` if a key that this node
     /// does not know is always refused for good.
     pub accounts: Option<AccountSettings>,
+    /// The limits on the memory of replicas' answers.
+    pub answers: AnswerSettings,
+}
+
+/// The limits on the memory of replicas' answers. One that exceeds them is given up, and its replica
+/// counts as faulty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AnswerSettings {
+    /// The maximum size of the body of one answer, in bytes.
+    pub max_bytes: usize,
+    /// The maximum size of the bodies of all answers that are being read or wait to be delivered, in
+    /// bytes; at least `max_bytes`.
+    pub max_in_flight_bytes: usize,
+}
+
+impl Default for AnswerSettings {
+    fn default() -> Self {
+        Self { max_bytes: DEFAULT_ANSWER_BYTES, max_in_flight_bytes: DEFAULT_IN_FLIGHT_BYTES }
+    }
 }
 
 /// The maximum number of requests of a client account that all nodes together admit in a window:
@@ -183,6 +211,7 @@
     rollouts: Option<Spanned<RolloutSettings>>,
     quota: Option<Spanned<QuotaSettings>>,
     accounts: Option<Spanned<AccountSettings>>,
+    answers: Option<Spanned<AnswerSettings>>,
     #[serde(default)]
     admission: AdmissionMode,
 }
@@ -234,6 +263,10 @@
             quota: raw.quota.as_ref().map(|value| check_quota(file, value)).transpose()?,
             admission: raw.admission,
             accounts: raw.accounts.as_ref().map(|value| check_accounts(file, value)).transpose()?,
+            answers: raw.answers.as_ref().map_or_else(
+                || Ok(AnswerSettings::default()),
+                |value| check_answers(file, value),
+            )?,
         })
     }
 }
@@ -364,6 +397,27 @@
     Ok(accounts)
 }
 
+fn check_answers(
+    file: &str,
+    value: &Spanned<AnswerSettings>,
+) -> Result<AnswerSettings, Diagnostic> {
+    let AnswerSettings { max_bytes, max_in_flight_bytes } = value.value;
+    if max_bytes < MIN_ANSWER_BYTES {
+        let message = format!("`answers.max_bytes` is {max_bytes}, which is out of range");
+        let hint = format!("use {MIN_ANSWER_BYTES} bytes or more");
+        return Err(Diagnostic::at_location(file, value.referenced, message, hint));
+    }
+    if max_in_flight_bytes < max_bytes {
+        let message = format!(
+            "`answers.max_in_flight_bytes` is {max_in_flight_bytes}, which is below \
+             `answers.max_bytes`, {max_bytes}"
+        );
+        let hint = "raise it, so that at least one answer of the largest size has room";
+        return Err(Diagnostic::at_location(file, value.referenced, message, hint));
+    }
+    Ok(value.value)
+}
+
 fn require_non_negative(
     file: &str,
     field: &str,
--- a/crates/sassafrasproxy-config/src/lib.rs
+++ b/crates/sassafrasproxy-config/src/lib.rs
@@ -12,8 +12,8 @@
 };
 pub use self::diagnostic::Diagnostic;
 pub use self::gateway_settings::{
-    AccountSettings, AdmissionMode, GatewaySettings, QuotaSettings, RetryBudgetSettings,
-    RolloutSettings, WarmupSettings,
+    AccountSettings, AdmissionMode, AnswerSettings, GatewaySettings, QuotaSettings,
+    RetryBudgetSettings, RolloutSettings, WarmupSettings,
 };
 pub use self::node_settings::NodeSettings;
 pub use self::publisher::{
--- a/crates/sassafrasproxy-config/tests/gateway_settings.rs
+++ b/crates/sassafrasproxy-config/tests/gateway_settings.rs
@@ -166,3 +166,19 @@
         }
     }
 }
+
+/// Guards against limits of answers that no answer can keep.
+#[test]
+fn answer_limits_are_checked() {
+    let parse = |answers: &str| {
+        GatewaySettings::parse("gateway.yaml", &format!("{VALID_SETTINGS}answers: {answers}\n"))
+    };
+    let defaults = GatewaySettings::parse("gateway.yaml", VALID_SETTINGS).unwrap().answers;
+    assert!(defaults.max_bytes <= defaults.max_in_flight_bytes);
+    let one = parse("{ max_bytes: 100000 }").unwrap().answers;
+    assert_eq!(one.max_bytes, 100_000);
+    assert_eq!(one.max_in_flight_bytes, defaults.max_in_flight_bytes);
+    assert!(parse("{ max_bytes: 10 }").is_err());
+    assert!(parse("{ max_bytes: 100000, max_in_flight_bytes: 50000 }").is_err());
+    assert!(parse("{ max_byte: 100000 }").is_err());
+}
--- a/crates/sassafrasproxy-core/src/forward/sending/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/sending/mod.rs
@@ -3,13 +3,16 @@
 //! `Fetch` takes a request to one service from its first attempt to its answer. It hedges after the
 //! delay that `RouteLatencies` computes, and retries; both spend the `RetryBudget`, which limits
 //! the extra attempts of all nodes together. A query over shards has one fetch for each shard; its
-//! `GatherPlan` determines when to answer with the parts that have arrived.
+//! `GatherPlan` determines when to answer with the parts that have arrived. `AnswerMemory` bounds
+//! what the answers of all requests take together.
 
+mod answer_memory;
 mod fetch;
 mod gather;
 mod retry_budget;
 mod route_latencies;
 
+pub use self::answer_memory::{AnswerId, AnswerLimits, AnswerMemory, AnswerRoom};
 pub use self::fetch::{
     Fetch, FetchFailure, FetchFailureReason, FetchPlan, FetchStep, SendCause, SendResult,
 };
--- a/crates/sassafrasproxy-gateway/src/connection_pool.rs
+++ b/crates/sassafrasproxy-gateway/src/connection_pool.rs
@@ -4,18 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use ecow::EcoString;
-use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use sassafrasproxy_core::US_PER_MS;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::http_connection::HttpConnection;
+
 /// The time before the announced keep-alive timeout from which an idle connection is not used any
 /// more, in milliseconds.
 ///
@@ -23,13 +20,10 @@
 /// the request has run. A quarter of a second far exceeds the network delay.
 const KEEP_ALIVE_MARGIN_MS: u64 = 250;
 
-/// A connection that can carry one request at a time.
-pub type UpstreamConnection = SendRequest<Full<Bytes>>;
-
 /// An idle connection.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: UpstreamConnection,
+    sender: HttpConnection,
     /// The time until which the connection may be used, in microseconds.
     usable_until_us: u64,
 }
@@ -42,7 +36,7 @@
 
 impl ConnectionPool {
     /// Takes the most recently used idle connection to a replica.
-    pub fn take(&mut self, replica: &str, now_us: u64) -> Option<UpstreamConnection> {
+    pub fn take(&mut self, replica: &str, now_us: u64) -> Option<HttpConnection> {
         let idle = self.idle.get_mut(replica)?;
         while let Some(connection) = idle.pop() {
             if connection.usable_until_us > now_us && !connection.sender.is_closed() {
@@ -56,7 +50,7 @@
     pub fn put(
         &mut self,
         replica: &EcoString,
-        sender: UpstreamConnection,
+        sender: HttpConnection,
         now_us: u64,
         keep_alive_ms: Option<u64>,
         limit: usize,
@@ -70,6 +64,7 @@
         if idle.len() >= limit {
             return;
         }
+        sender.end_answer();
         idle.push(IdleConnection { sender, usable_until_us });
     }
 
@@ -134,18 +129,12 @@
     address: SocketAddr,
     limit: Duration,
     quiet: Duration,
-) -> Result<UpstreamConnection, ConnectError> {
+) -> Result<HttpConnection, ConnectError> {
     let connecting = timeout(limit, TcpStream::connect(address)).await;
     let stream = connecting.map_err(|_| ConnectError::TimedOut(limit))??;
     stream.set_nodelay(true)?;
     if !quiet.is_zero() && timeout(quiet, stream.readable()).await.is_ok() {
         return Err(ConnectError::Closed);
     }
-    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-    spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!(address:%, error:%; "a connection to a replica ended with an error");
-        }
-    });
-    Ok(sender)
+    Ok(HttpConnection::open(stream, address).await?)
 }
--- a/crates/sassafrasproxy-gateway/src/http_client.rs
+++ b/crates/sassafrasproxy-gateway/src/http_client.rs
@@ -1,20 +1,20 @@
 //! An HTTP client with one persistent connection, for calls to the store and to peers.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ecow::eco_format;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use sassafrasproxy_platform::{StoreError, StoreRequest};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::http_connection::HttpConnection;
+
 /// The connect timeout.
 ///
 /// The store and peers answer within milliseconds; a second allows for one lost packet.
@@ -29,17 +29,22 @@
 /// The number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBE_COUNT: u32 = 2;
 
+/// The maximum size of the body of an answer of the store or a peer, in bytes.
+///
+/// A page of the store has at most one megabyte, and what a peer tells at once a few.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// An HTTP client that makes one call at a time over one connection.
 #[derive(Debug)]
 pub struct PersistentClient {
     address: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<HttpConnection>,
 }
 
 impl PersistentClient {
     /// Creates a client that connects at its first call.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, sender: None }
+        Self { address, connection: None }
     }
 
     /// Makes a call and returns the status and the body.
@@ -56,14 +61,14 @@
             Err(StoreError::NoAnswer { detail: eco_format!("no answer within {limit:?}") })
         });
         if result.is_err() {
-            self.sender = None;
+            self.connection = None;
         }
         result
     }
 
     /// Closes the connection; the next call opens a new one.
     pub fn disconnect(&mut self) {
-        self.sender = None;
+        self.connection = None;
     }
 
     async fn call_without_timeout(
@@ -79,27 +84,30 @@
             request = request.header(http::header::CONTENT_TYPE, "application/json");
         }
         let request = request.body(Full::new(call.body)).map_err(no_answer)?;
-        let sender = self.sender().await?;
-        let response = sender.send_request(request).await.map_err(no_answer)?;
+        let connection = self.connection().await?;
+        let sent = connection.send(request, MAX_BODY_BYTES).await;
+        let response = sent.map_err(|error| no_answer(error.into_error()))?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(no_answer)?;
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
+        let body = body.collect().await.map_err(|error| body_error(error.as_ref()))?;
+        connection.end_answer();
         Ok((status, body.to_bytes()))
     }
 
-    async fn sender(&mut self) -> Result<&mut SendRequest<Full<Bytes>>, StoreError> {
-        let existing = match self.sender.take() {
-            Some(mut sender) => sender.ready().await.is_ok().then_some(sender),
+    async fn connection(&mut self) -> Result<&mut HttpConnection, StoreError> {
+        let existing = match self.connection.take() {
+            Some(mut connection) => connection.ready().await.is_ok().then_some(connection),
             None => None,
         };
-        let sender = match existing {
-            Some(sender) => sender,
+        let connection = match existing {
+            Some(connection) => connection,
             None => connect(self.address).await?,
         };
-        Ok(self.sender.insert(sender))
+        Ok(self.connection.insert(connection))
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, StoreError> {
+async fn connect(address: SocketAddr) -> Result<HttpConnection, StoreError> {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.map_err(no_answer)?.map_err(no_answer)?;
     stream.set_nodelay(true).map_err(no_answer)?;
@@ -110,15 +118,16 @@
     if let Err(error) = SockRef::from(&stream).set_tcp_keepalive(&probes) {
         log::warn!(error:%; "cannot enable TCP keepalive on a connection to the store or a peer");
     }
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(no_answer)?;
-    spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!(error:%; "a connection to the store or a peer ended");
-        }
-    });
-    Ok(sender)
+    HttpConnection::open(stream, address).await.map_err(no_answer)
 }
 
 fn no_answer(error: impl std::fmt::Display) -> StoreError {
     StoreError::NoAnswer { detail: eco_format!("{error}") }
 }
+
+fn body_error(error: &(dyn Error + Send + Sync + 'static)) -> StoreError {
+    if error.is::<LengthLimitError>() {
+        return no_answer(format_args!("the answer is larger than {MAX_BODY_BYTES} bytes"));
+    }
+    no_answer(error)
+}
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod answer;
+mod answer_body;
 mod caller_server;
 mod confirmation;
 mod connection_pool;
@@ -14,6 +15,8 @@
 mod gateway;
 mod gather;
 mod http_client;
+mod http_connection;
+mod limited_stream;
 mod listener;
 mod metrics;
 mod peer_gossip;
--- a/crates/sassafrasproxy-gateway/src/metrics.rs
+++ b/crates/sassafrasproxy-gateway/src/metrics.rs
@@ -100,6 +100,8 @@
     pub send_ends: Family<KindLabel, Counter>,
     /// Answers of replicas with an invalid work time, which was ignored.
     pub invalid_work_times: Counter,
+    /// Answers of replicas that were given up because of their size, by the limit that they exceeded.
+    pub answers_over_limit: Family<KindLabel, Counter>,
     /// The number of requests that this node knows to be quarantined.
     pub quarantined_requests: Gauge,
     /// Shards that are missing from gathered answers.
@@ -154,6 +156,7 @@
             sends: Family::default(),
             send_ends: Family::default(),
             invalid_work_times: Counter::default(),
+            answers_over_limit: Family::default(),
             quarantined_requests: Gauge::default(),
             missing_parts: Counter::default(),
             store_calls: Family::default(),
@@ -217,6 +220,11 @@
             "Ignored work times of replicas",
             self.invalid_work_times.clone(),
         );
+        registry.register(
+            "answers_over_limit",
+            "Answers given up for their size",
+            self.answers_over_limit.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Requests refused as they crash replicas",
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -21,8 +21,10 @@
 use tokio::time::sleep;
 
 use crate::admission::AdmissionQueue;
+use crate::answer_body::AnswerStore;
 use crate::confirmation::ViewConfirmation;
-use crate::connection_pool::{ConnectionPool, UpstreamConnection, connect};
+use crate::connection_pool::{ConnectionPool, connect};
+use crate::http_connection::HttpConnection;
 use crate::metrics::{GatewayMetrics, KindLabel};
 use crate::quarantine::Quarantine;
 use crate::rate_limits::RateLimits;
@@ -54,6 +56,8 @@
     pub retry_budget: RefCell<RetryBudget>,
     pub relays: RelayPool,
     pub connections: RefCell<ConnectionPool>,
+    /// The memory of the answers of replicas.
+    pub answer_store: AnswerStore,
     preconnects: RefCell<Preconnector>,
     pub metrics: Arc<GatewayMetrics>,
     /// The rate limits of client accounts; `None` if they are not enforced here.
@@ -117,8 +121,9 @@
             retry_budget: RefCell::new(RetryBudget::new(budget_policy(&settings), clock.now_us())),
             relays: RelayPool::new(&settings),
             admission: AdmissionQueue::new(settings.admission),
-            settings: RefCell::new(settings),
             connections: RefCell::default(),
+            answer_store: AnswerStore::new(settings.answers),
+            settings: RefCell::new(settings),
             preconnects: RefCell::default(),
             metrics,
             caller_delays: RefCell::default(),
@@ -159,6 +164,7 @@
             let settings = changes.borrow_and_update().clone();
             self.pool.borrow_mut().set_settings(pool_settings(&settings));
             self.retry_budget.borrow_mut().set_policy(budget_policy(&settings));
+            self.answer_store.set_settings(settings.answers);
             if let Some((limits, quota)) = self.rate_limits.as_ref().zip(settings.quota.as_ref()) {
                 limits.set_quota(quota);
             }
@@ -394,7 +400,7 @@
     pub fn return_connection(
         &self,
         replica: &EcoString,
-        sender: UpstreamConnection,
+        sender: HttpConnection,
         keep_alive_ms: Option<u64>,
     ) {
         let (nodes, is_ingress) = (self.max_node_count.get(), self.is_ingress.get());
--- a/crates/sassafrasproxy-gateway/src/upstream.rs
+++ b/crates/sassafrasproxy-gateway/src/upstream.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use ecow::EcoString;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use sassafrasproxy_core::{ReportedLoad, SendId, SendOutcome, SendResult, US_PER_MS};
 use sassafrasproxy_platform::{
     UpstreamHead, WorkTime, decode_upstream_head, write_upstream_headers,
@@ -16,8 +16,10 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
-use crate::connection_pool::{ConnectError, UpstreamConnection, connect};
+use crate::answer_body::BodyError;
+use crate::connection_pool::{ConnectError, connect};
 use crate::crash_check::{CrashSign, check_for_crash};
+use crate::http_connection::HttpConnection;
 use crate::metrics::KindLabel;
 use crate::request::CallerRequest;
 use crate::traffic::TrafficState;
@@ -136,6 +138,21 @@
         let (request, replica) = (&self.request.attempt_id, &self.replica.id);
         log::info!(request:%, replica:%, error:%; "a send failed");
     }
+
+    /// Logs and counts an answer that was given up because of its size.
+    fn record_over_limit(
+        &self,
+        traffic: &TrafficState,
+        limit: &'static str,
+        error: &dyn std::fmt::Display,
+    ) {
+        let (request, replica) = (&self.request.attempt_id, &self.replica.id);
+        log::warn!(
+            request:%, replica:%, limit, error:%;
+            "gave up an answer that is too large; its connection is closed"
+        );
+        traffic.metrics.answers_over_limit.get_or_create(&KindLabel::new(limit)).inc();
+    }
 }
 
 /// The sends of one request.
@@ -268,7 +285,7 @@
 async fn ready_connection(
     traffic: &TrafficState,
     spec: &SendSpec,
-) -> Result<UpstreamConnection, ConnectError> {
+) -> Result<HttpConnection, ConnectError> {
     loop {
         let now_us = traffic.clock.now_us();
         let idle = traffic.connections.borrow_mut().take(&spec.replica.id, now_us);
@@ -286,7 +303,7 @@
 async fn send_request(
     traffic: &Rc<TrafficState>,
     spec: &SendSpec,
-    mut sender: UpstreamConnection,
+    mut sender: HttpConnection,
     left_ms: u64,
 ) -> UpstreamResult {
     let (request, id) = (&spec.request, &spec.replica.id);
@@ -296,7 +313,8 @@
     *upstream.headers_mut() = request.headers.clone();
     write_upstream_headers(upstream.headers_mut(), id, left_ms);
     request.mark_sent();
-    let response = match sender.try_send_request(upstream).await {
+    let max_body_bytes = traffic.answer_store.limits().max_answer_bytes;
+    let response = match sender.send(upstream, max_body_bytes).await {
         Ok(response) => response,
         Err(error) => {
             // The error holds the request if none of it was written to the connection.
@@ -305,16 +323,30 @@
             if is_unsent {
                 return UpstreamResult::Unsent;
             }
+            if sender.is_over_limit() {
+                spec.record_over_limit(traffic, "head", &format_args!("{}", error.error()));
+                return UpstreamResult::Lost;
+            }
             check_for_crash(traffic, spec, CrashSign::BrokenConnection);
             return UpstreamResult::Lost;
         }
     };
     let (parts, body) = response.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match traffic.answer_store.read(body).await {
+        Ok(body) => body,
         Err(error) => {
-            spec.log_failure(&format_args!("the connection broke during the answer: {error}"));
-            check_for_crash(traffic, spec, CrashSign::BrokenConnection);
+            spec.log_failure(&error);
+            // Returning closes the connection.
+            match error {
+                BodyError::TooLarge { .. } => spec.record_over_limit(traffic, "body", &error),
+                BodyError::NoRoom { .. } => spec.record_over_limit(traffic, "in_flight", &error),
+                BodyError::Broken(_) if sender.is_over_limit() => {
+                    spec.record_over_limit(traffic, "framing", &error);
+                }
+                BodyError::Broken(_) => {
+                    check_for_crash(traffic, spec, CrashSign::BrokenConnection);
+                }
+            }
             return UpstreamResult::Lost;
         }
     };
--- a/crates/sassafrasproxy-node/src/lib.rs
+++ b/crates/sassafrasproxy-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod control;
 mod events;
 mod http;
+mod limited_body;
 mod metrics;
 mod node;
 mod non_idempotent;
--- a/crates/sassafrasproxy-node/src/platform.rs
+++ b/crates/sassafrasproxy-node/src/platform.rs
@@ -9,6 +9,8 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::limited_body::read_limited;
+
 /// The timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -42,6 +44,9 @@
     Unknown,
 }
 
+/// The maximum size of the body of an answer of the platform, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// A client of the platform's key-value service and VM list.
 ///
 /// Every call fails with [`PlatformError`] if the platform cannot be reached, refuses the call or
@@ -136,5 +141,9 @@
 }
 
 async fn read_json<T: DeserializeOwned>(response: Response) -> Result<T, PlatformError> {
-    response.json().await.map_err(|_| PlatformError::Unknown)
+    let body = read_limited(response, MAX_BODY_BYTES).await.map_err(|error| {
+        log::warn!(error:%; "failed to read an answer of the platform");
+        PlatformError::Unknown
+    })?;
+    serde_json::from_slice(&body).map_err(|_| PlatformError::Unknown)
 }
--- a/crates/sassafrasproxy-node/src/replica_client.rs
+++ b/crates/sassafrasproxy-node/src/replica_client.rs
@@ -12,6 +12,8 @@
     SNAPSHOT_HEADER, SnapshotId, UpstreamQuery, UpstreamStatus,
 };
 
+use crate::limited_body::{LimitedBodyError, read_limited};
+
 /// The timeout of a status read or a cancellation.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -22,6 +24,12 @@
 /// request has certainly ended at the replica.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
 
+/// The maximum size of the body of an answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The maximum size of a replica's status, in bytes.
+const MAX_STATUS_BYTES: usize = 64 << 10;
+
 /// The number of microseconds in a second.
 const US_PER_S: u64 = 1_000_000;
 
@@ -136,7 +144,10 @@
         Err(error) if error.is_connect() => return StatusReport::Unreachable,
         Err(_) => return StatusReport::Unreadable,
     };
-    match response.json::<UpstreamStatus>().await {
+    let Ok(body) = read_limited(response, MAX_STATUS_BYTES).await else {
+        return StatusReport::Unreadable;
+    };
+    match serde_json::from_slice::<UpstreamStatus>(&body) {
         Ok(status) => StatusReport::Read(status),
         Err(_) => StatusReport::Unreadable,
     }
@@ -177,12 +188,16 @@
     if report.result != AttemptResult::Answered {
         return (report, None);
     }
-    let body = match response.bytes().await {
+    let body = match read_limited(response, MAX_ANSWER_BYTES).await {
         Ok(bytes) => serde_json::from_slice::<Box<serde_json::value::RawValue>>(&bytes).ok(),
-        Err(error) => {
+        Err(LimitedBodyError::Incomplete(error)) => {
             report.result = classify_error(&error);
             return (report, None);
         }
+        Err(error @ LimitedBodyError::TooLarge { .. }) => {
+            log::warn!(request:% = request.id, error:%; "gave up an answer that is too large");
+            None
+        }
     };
     if body.is_none() {
         report.result = AttemptResult::Malformed;
