Give up soon a call to a store that has not just answered

Cause: a watch waits 4 s and its answer 1.5 s more, also where the store has just failed or was not asked before. A call that begins in the outage is never answered, and is given up 5.5 s later.

Change: the first call to a store that has not just answered waits 0.3 s. Without failures no call is added.

It works as no call that an outage can swallow lasts longer than nodes have until they are in touch.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -27,6 +27,9 @@
     routes
 }
 
+/// The time after an outage from which nodes count as in touch with the store again.
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(4);
+
 /// Guards against failed requests during a store outage, and against changes that are missed after
 /// it.
 ///
@@ -55,6 +58,29 @@
     }
 }
 
+/// Guards against a configuration that is late after an outage, as a node goes on waiting for a call
+/// that the silent store has taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_soon_after_silent_outage() {
+    let mut cluster = Cluster::start(2).await;
+    cluster.publish(&routes_with("before"));
+    for gateway in 0..2 {
+        cluster.ask_until(gateway, "/before/7", |answer| answer.status == 200).await;
+    }
+    // The next watches begin, and are in flight when the store falls silent.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    cluster.store.set_mode(StoreMode::Unresponsive);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    cluster.store.set_mode(StoreMode::Up);
+    cluster.publish(&routes_with("after"));
+    let back = Instant::now();
+    for gateway in 0..2 {
+        cluster.ask_until(gateway, "/after/7", |answer| answer.status == 200).await;
+        let took = back.elapsed();
+        assert!(took < IN_TOUCH_AFTER, "gateway {gateway} after {took:?}");
+    }
+}
+
 /// Guards against a list that stops at a foreign or malformed item, or after its first page.
 #[tokio::test(flavor = "multi_thread")]
 async fn paged_list_skips_foreign_items() {
--- a/crates/sassafrasproxy-core/src/forward/registry/store_sync.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/store_sync.rs
@@ -12,6 +12,12 @@
     /// connection still answers keep-alive probes, and if all watches hang, no peer has synced
     /// further.
     pub watch_timeout_ms: u64,
+    /// The time for which a watch waits if the last call of this node to the store was not answered, or
+    /// was long ago, in milliseconds.
+    ///
+    /// A store that is down may take such a call and never answer it, also once it is back. So this
+    /// bounds how long after an outage a node goes on waiting for the call.
+    pub probe_timeout_ms: u64,
     /// The delay between a change and the start of the next watch, in microseconds.
     ///
     /// The delay lets changes share a call. It counts towards the three seconds within which a
@@ -33,6 +39,7 @@
     fn default() -> Self {
         Self {
             watch_timeout_ms: 4_000,
+            probe_timeout_ms: 300,
             coalesce_delay_us: 400_000,
             initial_backoff_us: 100_000,
             max_backoff_us: 800_000,
@@ -91,6 +98,8 @@
     policy: StoreSyncPolicy,
     rng: StdRng,
     phase: Phase,
+    /// Whether the store has answered the last call, and no peer was followed since.
+    is_answering: bool,
     consecutive_failures: u32,
     pause_until_us: u64,
 }
@@ -113,6 +122,7 @@
             policy,
             rng: StdRng::seed_from_u64(seed),
             phase: Phase::Listing { after_key: None, first_revision: None },
+            is_answering: false,
             consecutive_failures: 0,
             pause_until_us: 0,
         }
@@ -127,13 +137,17 @@
             Phase::Listing { after_key, .. } => StoreStep::List { after_key: after_key.clone() },
             Phase::Watching { after_revision } => StoreStep::Watch {
                 after_revision: *after_revision,
-                wait_ms: self.policy.watch_timeout_ms,
+                wait_ms: match self.is_answering {
+                    true => self.policy.watch_timeout_ms,
+                    false => self.policy.probe_timeout_ms,
+                },
             },
         }
     }
 
     /// Records the outcome of a call; returns whether it completed a list.
     pub fn record_outcome(&mut self, now_us: u64, outcome: StoreCallOutcome) -> bool {
+        self.is_answering = outcome != StoreCallOutcome::Failed;
         match outcome {
             StoreCallOutcome::Page { revision, next_after_key } => {
                 self.consecutive_failures = 0;
@@ -173,11 +187,13 @@
     /// Continues with a watch after a revision up to which all entries were learned from a peer,
     /// without a list.
     pub fn resume_from(&mut self, revision: u64) {
+        self.is_answering = false;
         self.phase = Phase::Watching { after_revision: revision };
     }
 
     /// Records that all entries up to a revision were learned from a peer; 0 if none were.
     pub fn advance_to(&mut self, revision: u64) {
+        self.is_answering = false;
         if revision > self.synced_revision() {
             self.resume_from(revision);
         }
--- a/crates/sassafrasproxy-core/tests/store_sync.rs
+++ b/crates/sassafrasproxy-core/tests/store_sync.rs
@@ -149,3 +149,34 @@
     }
     assert!(calls <= 15, "{calls} calls");
 }
+
+/// Guards against a configuration that is late after an outage of the store, which took calls and
+/// never answers them: a call that begins during the outage must be given up, and the next one begin,
+/// within the time after which nodes count as in touch again.
+#[test]
+fn calls_of_outage_end_soon() {
+    const IN_TOUCH_AFTER_US: u64 = 4_000_000;
+    // The gateway's timeout of a call, which it adds to the time that the watch waits.
+    const CALL_TIMEOUT_MS: u64 = 1_500;
+    let assert_soon = |sync: &mut StoreSync, now_us: u64, what: &str| {
+        let StoreStep::Watch { wait_ms, .. } = sync.next_step(now_us) else { panic!("no watch") };
+        let failed_us = now_us + (wait_ms + CALL_TIMEOUT_MS) * 1_000;
+        sync.record_outcome(failed_us, StoreCallOutcome::Failed);
+        let StoreStep::Pause { until_us } = sync.next_step(failed_us) else { panic!("no pause") };
+        // The outage ends just after the call began.
+        assert!(until_us - now_us < IN_TOUCH_AFTER_US, "{what}: {} us", until_us - now_us);
+        until_us
+    };
+    let mut watcher = new_sync();
+    watcher.record_outcome(0, page(10, None));
+    watcher.record_outcome(0, StoreCallOutcome::Failed);
+    let mut now_us = 1_000_000;
+    for failure in 1..8 {
+        now_us = assert_soon(&mut watcher, now_us, &format!("after {failure} failures"));
+    }
+    // A node that takes over from watchers has followed a peer until now.
+    let mut follower = new_sync();
+    follower.record_outcome(0, page(10, None));
+    follower.advance_to(12);
+    assert_soon(&mut follower, 1_000_000, "the first call of a new watcher");
+}
