Play a replica that leaves between two watches that the store cuts

A cut watch counted as an outage until the next watch returned, up to 4 s later, so a removal was held and a second cut prolonged the hold: requests reached a replica 6 s after its entry was removed, and orders were lost.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -8,8 +8,8 @@
 
 use nix::sys::signal::Signal;
 use sassafrasproxy_platform_standin::{
-    CallerAnswer, DeclaredRoute, DeclaredTarget, GatewayProcess, StoreEndpoint, StoreMode,
-    query_directory,
+    CallerAnswer, DeclaredRoute, DeclaredTarget, FaultProxy, GatewayProcess, StoreEndpoint,
+    StoreMode, query_directory,
 };
 use serde_json::Value;
 
@@ -30,6 +30,9 @@
 /// The time after an outage from which nodes count as in touch with the store again.
 const IN_TOUCH_AFTER: Duration = Duration::from_secs(4);
 
+/// The time for which a replica that leaves goes on serving.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
 /// Guards against failed requests during a store outage, and against changes that are missed after
 /// it.
 ///
@@ -207,6 +210,32 @@
     cluster.ask_until(0, "/desk/7", answered_by("da")).await;
 }
 
+/// Guards against work for a replica whose entry was removed between two watches that the store cut,
+/// which do not make an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn departed_replica_gets_no_work_between_cuts() {
+    let mut cluster = Cluster::start(0).await;
+    let proxy = FaultProxy::start(cluster.store.address());
+    let gateway = cluster.add_gateway_with_store(proxy.address());
+    cluster.ask_until(gateway, "/desk/1", |answer| answer.status == 200).await;
+    // The registration of the gateway is the last change.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    proxy.reset_open_connections();
+    tokio::time::sleep(Duration::from_millis(4_800)).await;
+    cluster.store.deregister_replica("db");
+    let removed = Instant::now();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    proxy.reset_open_connections();
+    tokio::time::sleep(DRAIN_TIME.saturating_sub(removed.elapsed())).await;
+    let before = cluster.replica("db").received_requests().len();
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        assert_eq!(cluster.ask(gateway, "/desk/7").await.status, 200);
+    }
+    let late = cluster.replica("db").received_requests().len() - before;
+    assert_eq!(late, 0, "requests later than {DRAIN_TIME:?} after the removal");
+}
+
 /// Guards against requests to a failure domain that is out of service.
 ///
 /// It must get requests again once it is brought back.
