Gather a gateway's shutdown and the checks of settings; sound queries in the soak

The shutdown's state, guards and sequence stood in three files, and its guards twice; they are in one now. The checks that node and gateway settings share have a file of their own. The soak's crashing request is told apart by its query, and sound queries of its path run beside it. Nothing that a process does is changed by the first two.

--- a/crates/sassafrasproxy-config/src/gateway_settings.rs
+++ b/crates/sassafrasproxy-config/src/gateway_settings.rs
@@ -5,10 +5,13 @@
 
 use ecow::EcoString;
 use serde::Deserialize;
-use serde_saphyr::{Location, Spanned};
+use serde_saphyr::Spanned;
 
 use crate::Diagnostic;
 use crate::diagnostic::{read_text, read_yaml};
+use crate::setting_checks::{
+    parse_address, require_in_range, require_non_empty, require_non_negative,
+};
 
 /// The hint for a settings file that cannot be parsed.
 const SETTINGS_HINT: &str = "see docs/OPERATIONS.md for the fields of a gateway's settings";
@@ -27,8 +30,10 @@
 /// The maximum of `accounts.revoke_ms`: a day.
 const MAX_REVOKE_MS: u64 = 86_400_000;
 
-/// The default and the minimum of `answers.max_bytes`.
+/// The default of `answers.max_bytes`.
 const DEFAULT_ANSWER_BYTES: usize = 4 << 20;
+
+/// The minimum of `answers.max_bytes`.
 const MIN_ANSWER_BYTES: usize = 1 << 10;
 
 /// The default of `answers.max_in_flight_bytes`.
@@ -271,58 +276,6 @@
     }
 }
 
-/// Returns a text, or a diagnostic if it is blank.
-pub(crate) fn require_non_empty(
-    file: &str,
-    field: &str,
-    value: &Spanned<EcoString>,
-) -> Result<EcoString, Diagnostic> {
-    if value.value.trim().is_empty() {
-        let message = format!("`{field}` is empty");
-        return Err(Diagnostic::at_location(
-            file,
-            value.referenced,
-            message,
-            "set it to a name that is not blank",
-        ));
-    }
-    Ok(value.value.clone())
-}
-
-/// Parses an IP address with a port; host names are rejected.
-pub(crate) fn parse_address(
-    file: &str,
-    field: &str,
-    value: &Spanned<EcoString>,
-) -> Result<SocketAddr, Diagnostic> {
-    value.value.parse().map_err(|_| {
-        let message =
-            format!("`{field}` is `{}`, which is not an IP address with a port", value.value);
-        Diagnostic::at_location(
-            file,
-            value.referenced,
-            message,
-            "write an IP address and a port, such as 127.0.0.1:7001",
-        )
-    })
-}
-
-/// Returns a number, or a diagnostic if it is not between `min` and `max`, both included.
-pub(crate) fn require_in_range(
-    file: &str,
-    field: &str,
-    value: &Spanned<u64>,
-    min: u64,
-    max: u64,
-) -> Result<u64, Diagnostic> {
-    if value.value < min || value.value > max {
-        let message = format!("`{field}` is {}, which is out of range", value.value);
-        let hint = format!("use a value from {min} to {max}");
-        return Err(Diagnostic::at_location(file, value.referenced, message, hint));
-    }
-    Ok(value.value)
-}
-
 fn check_cpu_share(file: &str, value: &Spanned<f64>) -> Result<f64, Diagnostic> {
     require_non_negative(file, "cpu_share", value.referenced, value.value)?;
     Ok(value.value)
@@ -417,20 +370,3 @@
     }
     Ok(value.value)
 }
-
-fn require_non_negative(
-    file: &str,
-    field: &str,
-    at: Location,
-    value: f64,
-) -> Result<(), Diagnostic> {
-    if value.is_finite() && value >= 0.0 {
-        return Ok(());
-    }
-    Err(Diagnostic::at_location(
-        file,
-        at,
-        format!("`{field}` is {value}, which is negative or not finite"),
-        "use a finite number, 0 or more",
-    ))
-}
--- a/crates/sassafrasproxy-config/src/lib.rs
+++ b/crates/sassafrasproxy-config/src/lib.rs
@@ -6,6 +6,7 @@
 mod node_settings;
 mod publisher;
 mod service_file;
+mod setting_checks;
 
 pub use self::chunks::{
     AssembleError, Chunk, HEAD_KEY, assemble_configuration, chunk_key, chunk_services, parse_head,
--- a/crates/sassafrasproxy-config/src/node_settings.rs
+++ b/crates/sassafrasproxy-config/src/node_settings.rs
@@ -9,7 +9,7 @@
 
 use crate::Diagnostic;
 use crate::diagnostic::{read_text, read_yaml};
-use crate::gateway_settings::{parse_address, require_in_range, require_non_empty};
+use crate::setting_checks::{parse_address, require_in_range, require_non_empty};
 
 /// The default of `address_keep_ms`.
 const DEFAULT_ADDRESS_KEEP_MS: u64 = 10_000;
--- a/crates/sassafrasproxy-gateway/src/caller_server.rs
+++ b/crates/sassafrasproxy-gateway/src/caller_server.rs
@@ -21,7 +21,8 @@
 use crate::quarantine::QuarantineAdmission;
 use crate::rate_limits::{RateAdmission, RequestToken, TokenTurn, admit};
 use crate::request::{Arrival, CallerRequest, RequestAccount, RequestProgress};
-use crate::traffic::{ActiveRequestGuard, TrafficState};
+use crate::shutdown::ActiveRequestGuard;
+use crate::traffic::TrafficState;
 use crate::{gather, single_replica};
 
 /// The retry delay for callers of a node that has no configuration yet, in milliseconds.
@@ -40,7 +41,7 @@
     let answered = tokio::select! {
         answered = answer(&traffic, request, progress.clone()) => answered,
         // Dropping the request has stopped its sends.
-        () = traffic.wait_until_given_up() => Err(give_up(&progress)),
+        () = traffic.shutdown.wait_until_given_up() => Err(give_up(&progress)),
     };
     let mut answer = match answered {
         Ok(answer) => answer,
@@ -67,7 +68,7 @@
             refusal_answer(&traffic.metrics, refusal, retry_after_ms)
         }
     };
-    if traffic.is_leaving() {
+    if traffic.shutdown.is_leaving() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
--- a/crates/sassafrasproxy-gateway/src/directory.rs
+++ b/crates/sassafrasproxy-gateway/src/directory.rs
@@ -61,7 +61,7 @@
     traffic: Rc<TrafficState>,
     _request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
-    let is_ready = !traffic.is_leaving() && traffic.catalogue().version > 0;
+    let is_ready = !traffic.shutdown.is_leaving() && traffic.catalogue().version > 0;
     let mut answer = Response::new(Full::default());
     if !is_ready {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/sassafrasproxy-gateway/src/gateway.rs
+++ b/crates/sassafrasproxy-gateway/src/gateway.rs
@@ -18,7 +18,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
 
 use crate::answer::Answer;
 use crate::confirmation::ViewConfirmation;
@@ -26,6 +25,7 @@
 use crate::listener::{self, ConnectionLimits};
 use crate::metrics::GatewayMetrics;
 use crate::quarantine::Quarantine;
+use crate::shutdown::shut_down;
 use crate::traffic::TrafficState;
 use crate::view::GatewayView;
 use crate::{admission, caller_server, directory, relay_server};
@@ -36,13 +36,6 @@
 /// The idle timeout of connections on the directory, readiness and metrics listeners.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The interval at which a leaving node checks whether its requests have completed.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
-/// Twice the time for the last answers to leave the process, in microseconds, unless the grace time
-/// leaves less.
-const MAX_FLUSH_US: u64 = 100_000;
-
 /// An error that keeps a gateway from running.
 #[derive(Debug, Error)]
 pub enum GatewayError {
@@ -262,34 +255,6 @@
     Ok(())
 }
 
-/// Shuts down gracefully within the grace time.
-///
-/// Accepts connections while callers get other nodes' addresses from the directory, then stops
-/// accepting and waits for in-flight requests. Those that have not ended in time get their final
-/// answers.
-async fn shut_down(traffic: &TrafficState, stop: &watch::Sender<bool>) {
-    let drain = traffic.start_drain();
-    traffic.sleep_until(drain.accept_until_us).await;
-    stop.send_replace(true);
-    let flush_us = (drain.end_us - drain.answer_until_us).min(MAX_FLUSH_US) / 2;
-    let drained = async {
-        // Idle connections are closed by now: an open one carries a request or is receiving one.
-        while traffic.active_requests.get() > 0 || traffic.open_connections.get() > 0 {
-            sleep(DRAIN_CHECK_INTERVAL).await;
-        }
-        sleep(Duration::from_micros(flush_us)).await;
-    };
-    let left_us = drain.answer_until_us.saturating_sub(traffic.clock.now_us());
-    if timeout(Duration::from_micros(left_us), drained).await.is_err() {
-        log::warn!(
-            requests = traffic.active_requests.get();
-            "the grace time is over; in-flight requests are given up"
-        );
-        traffic.give_up_requests();
-        sleep(Duration::from_micros(flush_us)).await;
-    }
-}
-
 fn caller_limits(traffic: &TrafficState) -> ConnectionLimits {
     let limits = traffic.catalogue().caller_limits;
     ConnectionLimits {
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod reload;
 mod request;
 mod rollouts;
+mod shutdown;
 mod single_replica;
 mod store_events;
 mod store_follower;
--- a/crates/sassafrasproxy-gateway/src/listener.rs
+++ b/crates/sassafrasproxy-gateway/src/listener.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::answer::Answer;
+use crate::shutdown::OpenConnectionGuard;
 use crate::traffic::TrafficState;
 
 /// The delay before the next accept after an accept has failed, for example for lack of file
@@ -112,21 +113,3 @@
 
 /// The minimum read buffer size that the HTTP library accepts, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8_192;
-
-/// Counts a caller connection as open until dropped.
-struct OpenConnectionGuard {
-    traffic: Rc<TrafficState>,
-}
-
-impl OpenConnectionGuard {
-    fn new(traffic: Rc<TrafficState>) -> Self {
-        traffic.open_connections.set(traffic.open_connections.get() + 1);
-        Self { traffic }
-    }
-}
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.traffic.open_connections.set(self.traffic.open_connections.get() - 1);
-    }
-}
--- a/crates/sassafrasproxy-gateway/src/relay_server.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_server.rs
@@ -21,7 +21,8 @@
 
 use crate::metrics::KindLabel;
 use crate::request::{CallerRequest, RequestAccount, RequestProgress, fingerprinted_request};
-use crate::traffic::{ActiveRequestGuard, TrafficState};
+use crate::shutdown::ActiveRequestGuard;
+use crate::traffic::TrafficState;
 use crate::upstream::{SendSpec, SendTasks, UpstreamResult, start_send};
 
 /// The time for which a finished part waits for others, to be merged into the same reply.
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -10,9 +10,9 @@
 use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
-    CallerDelayEstimator, Catalogue, DirectoryNode, Drain, DrainDecision, DrainRequest, Fanout,
-    FetchPlan, PoolSettings, PreconnectStep, Preconnector, ReportThrottle, RetryBudget,
-    RetryBudgetPolicy, RouteLatencies, SendCause, SendTiming, TrialReport, US_PER_MS, UpstreamPool,
+    CallerDelayEstimator, Catalogue, DirectoryNode, DrainDecision, DrainRequest, Fanout, FetchPlan,
+    PoolSettings, PreconnectStep, Preconnector, ReportThrottle, RetryBudget, RetryBudgetPolicy,
+    RouteLatencies, SendCause, SendTiming, TrialReport, US_PER_MS, UpstreamPool,
     WeightedRoundRobin, budget_shares, directory_addresses, ingress_nodes, route_class,
 };
 use sassafrasproxy_wire::{MemberState, ReplicaEntry, Route, RouteTarget, WeightedService};
@@ -31,6 +31,7 @@
 use crate::relay_pool::RelayPool;
 use crate::request::CallerRequest;
 use crate::rollouts::TRIAL_INTERVAL;
+use crate::shutdown::Shutdown;
 use crate::view::GatewayView;
 
 /// The minimum node count that a node assumes when it computes its share of common limits.
@@ -73,14 +74,8 @@
     split_round_robins: RefCell<IndexMap<EcoString, WeightedRoundRobin>>,
     /// Notified when this node takes part in the trial of a version.
     trial_started: Notify,
-    /// The shutdown of this node; `None` until it is told to leave.
-    drain: Cell<Option<Drain>>,
-    /// Notified when the requests in progress must get their final answers at once.
-    requests_given_up: Notify,
-    /// The number of requests and relay calls in progress.
-    pub active_requests: Cell<usize>,
-    /// The number of open caller connections that shutdown waits for.
-    pub open_connections: Cell<usize>,
+    /// The progress of this node's shutdown.
+    pub shutdown: Shutdown,
     /// The maximum number of nodes that this process has seen at once.
     ///
     /// The maximum keeps a node from taking the share of others in common limits during a
@@ -131,10 +126,7 @@
             route_latencies: RefCell::default(),
             split_round_robins: RefCell::default(),
             trial_started: Notify::new(),
-            drain: Cell::new(None),
-            requests_given_up: Notify::new(),
-            active_requests: Cell::new(0),
-            open_connections: Cell::new(0),
+            shutdown: Shutdown::default(),
             max_node_count: Cell::new(ASSUMED_MIN_NODES),
             max_ingress_node_count: Cell::new(ASSUMED_MIN_NODES),
             is_ingress: Cell::new(false),
@@ -210,31 +202,9 @@
         sleep(Duration::from_micros(at_us.saturating_sub(self.clock.now_us()))).await;
     }
 
-    /// Starts the shutdown of this node, from when on callers should use other nodes.
-    pub fn start_drain(&self) -> Drain {
-        let drain = Drain::start(self.clock.now_us(), self.settings().grace_ms * US_PER_MS);
-        self.drain.set(Some(drain));
-        drain
-    }
-
-    /// Whether this node is leaving and callers should use other nodes.
-    pub fn is_leaving(&self) -> bool {
-        self.drain.get().is_some()
-    }
-
-    /// Gives up the requests in progress, which get their final answers.
-    pub fn give_up_requests(&self) {
-        self.requests_given_up.notify_waiters();
-    }
-
-    /// Waits until the requests in progress are given up.
-    pub async fn wait_until_given_up(&self) {
-        self.requests_given_up.notified().await;
-    }
-
     /// Whether this node stays, or can still answer a request before its grace time is over.
     pub fn can_answer_before_leaving(&self, request: &CallerRequest, route: &Route) -> bool {
-        let Some(drain) = self.drain.get() else { return true };
+        let Some(drain) = self.shutdown.drain() else { return true };
         let request = DrainRequest {
             deadline_us: request.answer_deadline_us(route),
             expected_us: self.fetch_plan(route).expected_us,
@@ -253,7 +223,7 @@
             node.state == MemberState::Alive && node.address != self.callers_address
         };
         let has_other_node = self.view.borrow().nodes.iter().any(is_usable);
-        match self.drain.get() {
+        match self.shutdown.drain() {
             Some(drain) if !has_other_node => {
                 drain.end_us.saturating_sub(self.clock.now_us()).div_ceil(US_PER_MS)
             }
@@ -435,25 +405,6 @@
     }
 }
 
-/// Counts a request or a relay call as active until dropped, also if its caller disconnects.
-pub struct ActiveRequestGuard {
-    traffic: Rc<TrafficState>,
-}
-
-impl ActiveRequestGuard {
-    /// Counts a request or a relay call.
-    pub fn new(traffic: Rc<TrafficState>) -> Self {
-        traffic.active_requests.set(traffic.active_requests.get() + 1);
-        Self { traffic }
-    }
-}
-
-impl Drop for ActiveRequestGuard {
-    fn drop(&mut self) {
-        self.traffic.active_requests.set(self.traffic.active_requests.get() - 1);
-    }
-}
-
 fn pool_settings(settings: &GatewaySettings) -> PoolSettings {
     PoolSettings {
         failure_domain: settings.failure_domain.clone(),
--- a/crates/sassafrasproxy-soak/src/crashing_request.rs
+++ b/crates/sassafrasproxy-soak/src/crashing_request.rs
@@ -1,5 +1,6 @@
 //! Repeats a request that crashes the replicas that run it, and checks how many attempts reach them.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -11,11 +12,11 @@
 use crate::keys::Key;
 use crate::schedule::Fault;
 
-/// The text in the path of the request.
-pub const CRASHING_TEXT: &str = "crashing";
+/// The text in the query of the request.
+pub const CRASHING_TEXT: &str = "sku=crashing";
 
-/// The path of the request.
-const CRASHING_PATH: &str = "/crash/crashing";
+/// The path of the request, and of the sound ones beside it.
+const PATH: &str = "/crash/find";
 
 /// The deadline of each attempt, in milliseconds.
 const ATTEMPT_DEADLINE_MS: u64 = 500;
@@ -67,13 +68,11 @@
             let id = format!("crashing-{number}");
             let attempt = Attempt { id: id.clone(), gateway, sent_at: Instant::now() };
             self.attempts.lock().unwrap().push(attempt);
-            let headers = [("authorization", authorization.as_str())];
-            let (host, path) = ("soak.example", CRASHING_PATH);
-            let request =
-                send_get_with_headers(address, host, path, &id, ATTEMPT_DEADLINE_MS, &headers);
-            // The answer does not matter, nor whether the gateway is there.
-            let _ = tokio::time::timeout(ANSWER_TIMEOUT, request).await;
+            ask(address, &authorization, CRASHING_TEXT, &id).await;
             tokio::time::sleep(REPEAT_PAUSE).await;
+            // Answers to other queries of the path must not acquit the request.
+            ask(address, &authorization, &format!("sku={number}"), &format!("sound-{number}"))
+                .await;
             number += 1;
         }
     }
@@ -111,6 +110,16 @@
     }
 }
 
+/// Sends a request with a query to a gateway; neither its answer matters nor whether the gateway is
+/// there.
+async fn ask(address: SocketAddr, authorization: &str, query: &str, id: &str) {
+    let headers = [("authorization", authorization)];
+    let path = format!("{PATH}?{query}");
+    let request =
+        send_get_with_headers(address, "soak.example", &path, id, ATTEMPT_DEADLINE_MS, &headers);
+    let _ = tokio::time::timeout(ANSWER_TIMEOUT, request).await;
+}
+
 /// The disturbances of the gateways and of the store, in the order of time.
 #[derive(Debug, Default)]
 pub struct Disturbances {
