Let a node that shuts down answer the queries that other nodes run for it

What callers saw: a query through a node of the product's own interface ended without an answer when the node was told to end, though other nodes were still running it.

Cause: the node waited until its own schedulers were idle and then ended; the work of its callers' queries is at the homes on other nodes, of which they know nothing. Evidence: query_at_homes_is_answered on the code before ends with an incomplete message 0.1 to 0.3 s after SIGTERM, while the upstreams take longer.

Test: query_at_homes_is_answered fails before and passes now, as does graceful_shutdown. It works as an open connection is what shows that a caller still waits, wherever the work is.

--- a/crates/sassafrasproxy-cli/tests/drain_and_shutdown.rs
+++ b/crates/sassafrasproxy-cli/tests/drain_and_shutdown.rs
@@ -11,7 +11,7 @@
 
 use sassafrasproxy_config::{PublishOutcome, PublishRequest};
 use sassafrasproxy_node::{PlatformClient, publish};
-use sassafrasproxy_standin::{UpstreamFault, UpstreamStandIn};
+use sassafrasproxy_standin::{Stragglers, UpstreamFault, UpstreamStandIn};
 use sassafrasproxy_wire::{AddressList, NodeStatus, ReplicaStatus, VmEntry, VmState};
 use serde_json::json;
 use support::{Cluster, FAILURE_DOMAINS, WAIT_TIMEOUT, search_until_complete, send_query};
@@ -209,3 +209,27 @@
         assert!(failures.is_empty(), "{} of {count}: {:?}", failures.len(), failures.first());
     }
 }
+
+/// Guards against a query that is cut off when its node ends, as other nodes' homes run it and
+/// nothing on its own node tells of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_at_homes_is_answered() {
+    let mut cluster = start_cluster().await;
+    let slow = Stragglers { probability: 1.0, factor: 100.0 };
+    for (_, upstream) in &cluster.upstreams {
+        upstream.apply_fault(UpstreamFault::Straggle(Some(slow.clone())));
+    }
+    let node = cluster.nodes[2].address();
+    let request = json!({
+        "services": ["art-archive", "counter-desk"],
+        "kind": "search",
+        "body": { "text": "verse" },
+        "min_coverage": 1.0,
+    });
+    let query = tokio::spawn(async move { send_query(node, request.to_string(), &[]).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    cluster.nodes[2].terminate().unwrap();
+    let answer = query.await.unwrap();
+    assert!(answer.is_ok(), "{answer:?}");
+    assert!(cluster.nodes[2].wait_for_exit().unwrap().success());
+}
--- a/crates/sassafrasproxy-node/src/node.rs
+++ b/crates/sassafrasproxy-node/src/node.rs
@@ -15,6 +15,7 @@
 use thiserror::Error;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 
 use crate::PlatformClient;
 use crate::caller_connections::{CallerAcceptor, CallerConnections};
@@ -94,6 +95,8 @@
     peer_address: SocketAddr,
     peer_server: ServerHandle,
     stop_http: watch::Sender<bool>,
+    /// Ends once the callers' connections have ended after a stop.
+    http_server: JoinHandle<()>,
 }
 
 impl Node {
@@ -145,9 +148,9 @@
                 .map_err(|error| StartError::PeerServer { detail: eco_format!("{error}") })?;
         ControlThread::start(control_plane, shared.clone(), platform, inputs)
             .map_err(StartError::ControlThread)?;
-        let stop_http = serve_http(listener, shared.clone());
+        let (stop_http, http_server) = serve_http(listener, shared.clone());
         shared.events.record(None, TimelineEventKind::NodeStarted);
-        Ok(Self { shared, address, peer_address, peer_server, stop_http })
+        Ok(Self { shared, address, peer_address, peer_server, stop_http, http_server })
     }
 
     /// Returns the bound address to which callers connect.
@@ -162,7 +165,10 @@
 
     /// Shuts down gracefully: announces the shutdown, hands over its homes, serves until callers no
     /// longer use its address and work has drained, and stops.
-    pub async fn shut_down(self) {
+    ///
+    /// The work of its callers' queries may be at the homes on other nodes, so the node also waits
+    /// until it has answered them.
+    pub async fn shut_down(mut self) {
         self.shared.send_control_event(ControlEvent::Shutdown);
         let address_keep_time = Duration::from_millis(self.shared.settings.address_keep_ms);
         tokio::time::sleep(address_keep_time).await;
@@ -172,6 +178,10 @@
             }
         };
         let _ = tokio::time::timeout(DRAIN_TIMEOUT, drain).await;
+        self.stop_http.send_replace(true);
+        if tokio::time::timeout(DRAIN_TIMEOUT, &mut self.http_server).await.is_err() {
+            log::warn!("callers' connections were still open when the node ended");
+        }
         self.shared.events.record(None, TimelineEventKind::NodeStopped);
         self.stop();
         // Leaves the HTTP server time to finish the answers that it is sending.
@@ -186,10 +196,10 @@
     }
 }
 
-/// Serves callers until `true` is sent on the returned channel.
-fn serve_http(listener: TcpListener, shared: Arc<Shared>) -> watch::Sender<bool> {
+/// Serves callers until `true` is sent on the returned channel, and ends once their connections have.
+fn serve_http(listener: TcpListener, shared: Arc<Shared>) -> (watch::Sender<bool>, JoinHandle<()>) {
     let (stop, mut stopped) = watch::channel(false);
-    tokio::spawn(async move {
+    let server = tokio::spawn(async move {
         let caller_connections = CallerConnections::default();
         let acceptor = match CallerAcceptor::new(listener, caller_connections.clone()) {
             Ok(acceptor) => acceptor,
@@ -204,7 +214,7 @@
             log::error!("serving callers ended: {error}");
         }
     });
-    stop
+    (stop, server)
 }
 
 /// Binds a socket for an asynchronous server.
