--- a/crates/sassafrasproxy-cli/tests/drain_and_shutdown.rs
+++ b/crates/sassafrasproxy-cli/tests/drain_and_shutdown.rs
@@ -217,7 +217,7 @@
     let mut cluster = start_cluster().await;
     let slow = Stragglers { probability: 1.0, factor: 100.0 };
     for (_, upstream) in &cluster.upstreams {
-        upstream.apply_fault(UpstreamFault::Straggle(Some(slow.clone())));
+        upstream.apply_fault(UpstreamFault::Straggle(Some(slow)));
     }
     let node = cluster.nodes[2].address();
     let request = json!({
