--- a/crates/sassafrasproxy-cli/tests/gateway_endless_answers.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_endless_answers.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
-use crate::gateway::{Cluster, HOST, WAIT_TIMEOUT, unique_attempt_id};
+use crate::gateway::{Cluster, HOST, SHARD_COUNT, WAIT_TIMEOUT, unique_attempt_id};
 
 /// The number of callers that ask at the same time.
 const CALLERS: usize = 8;
@@ -156,6 +156,12 @@
     }
 }
 
+/// Guards against bytes without end that are no HTTP and come before any request.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_connection() {
+    assert_bounded(EndlessPart::Connection).await;
+}
+
 /// Guards against many answers at once, each within its limit, that take more memory than there is;
 /// the node counts them and names them in its log.
 #[tokio::test(flavor = "multi_thread")]
@@ -220,6 +226,30 @@
     }
 }
 
+/// Guards against a peer whose relay port sends without end: queries are sent to the replicas
+/// directly.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_relay() {
+    for part in [EndlessPart::Connection, EndlessPart::Frames] {
+        let mut cluster = Cluster::start(1).await;
+        // All replicas are near the relay, two for each shard, so that a lost part is sent again.
+        for shard in 0..SHARD_COUNT {
+            cluster.replica(&format!("s{shard}a")).register(&cluster.store, "east", "ready");
+        }
+        let endless = EndlessServer::start(part);
+        let relay = json!(endless.address().to_string());
+        let east = cluster.add_gateway_with_settings(&[("relay_advertise", relay)]);
+        cluster.ask_until(east, "/all/1", |answer| answer.status == 200).await;
+        let outcome = ask_for_a_while(&cluster, 0, "/all/7").await;
+        assert!(endless.request_count() > 0, "{part:?}: the relay got no connection");
+        let peak = cluster.gateways[0].peak_memory_bytes().unwrap();
+        assert!(peak < MAX_MEMORY_BYTES, "{part:?}: {peak} bytes of memory");
+        assert!(outcome.unserved.is_empty(), "{part:?}: {outcome:?}");
+        let (taken, connections) = (endless.taken_bytes(), endless.request_count() as u64);
+        assert!(taken < connections * MAX_TAKEN_BYTES, "{part:?}: {taken} bytes");
+    }
+}
+
 /// Guards against a store that answers without end: the node keeps to its memory, and serves by what
 /// its peers tell it.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_shutdown.rs
@@ -164,6 +164,31 @@
     assert!(cluster.gateways[0].wait_for_exit().unwrap().success());
 }
 
+/// Guards against requests that are cut off when the settings file or the configuration changes, and
+/// against a shutdown by the grace time of before.
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_grace_counts() {
+    let mut cluster = Cluster::start(1).await;
+    cluster.set_modes(ReplicaMode::Answering(400));
+    let address = cluster.gateways[0].callers_address();
+    let in_flight: Vec<_> =
+        (0..2).map(|_| tokio::spawn(send_order(address, unique_attempt_id()))).collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    cluster.gateways[0].change_setting("grace_ms", 5_000.into()).unwrap();
+    cluster.gateways[0].signal(Signal::SIGHUP).unwrap();
+    cluster.publish(&routes());
+    cluster.gateways[0].wait_for_log_line("reloaded the settings").unwrap();
+    for order in in_flight {
+        assert_eq!(order.await.unwrap().unwrap().status, 200);
+    }
+    cluster.gateways[0].signal(Signal::SIGTERM).unwrap();
+    cluster.gateways[0].wait_for_log_line("the node is leaving").unwrap();
+    // The deadline of 1,000 ms is before the end of the new grace time, and after that of the old.
+    let answer = send_order(address, unique_attempt_id()).await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(cluster.gateways[0].wait_for_exit().unwrap().success());
+}
+
 async fn send_order(address: SocketAddr, attempt_id: String) -> eyre::Result<CallerAnswer> {
     send_get(address, HOST, "/desk/order/7", &attempt_id, 2_000).await
 }
