Log what a failed read of the store had waited for

A failed read said its error only, which does not tell a watch that began in an outage from one that the store took before it, nor a long wait from a long pause. The line now has the call, the time that it was to wait, the time that it took, and the age of the last answer, as the hypotheses on late configurations need.

--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -339,6 +339,12 @@
         }
     }
 
+    /// Returns the time since the last successful call to the store, or since the start, in
+    /// microseconds.
+    pub fn store_answer_age_us(&self) -> u64 {
+        self.clock.now_us().saturating_sub(self.last_store_answer_us.get())
+    }
+
     /// Records the result of a store read, and notifies discovery when the store becomes
     /// unavailable or recovers.
     ///
@@ -381,8 +387,7 @@
             (gossip.take_log_events(), gossip.node_count())
         };
         log_members(&log_events, members);
-        let age_us = state.clock.now_us() - state.last_store_answer_us.get();
-        state.metrics.store_age.set((age_us / 1_000_000) as i64);
+        state.metrics.store_age.set((state.store_answer_age_us() / 1_000_000) as i64);
         if state.discovery.borrow().next_hold_expiry_us().is_some() {
             state.apply_events([DiscoveryEvent::Tick]);
         }
--- a/crates/sassafrasproxy-gateway/src/store_follower.rs
+++ b/crates/sassafrasproxy-gateway/src/store_follower.rs
@@ -83,7 +83,12 @@
         state.count_store_call(call, outcome.as_ref().err());
         state.record_store_read(outcome.as_ref().err());
         let outcome = outcome.unwrap_or_else(|error| {
-            log::info!(error:%; "a store read failed");
+            let now_us = state.clock.now_us();
+            log::info!(
+                call, wait_ms = watch_wait_us / US_PER_MS, took_ms = (now_us - sent_us) / US_PER_MS,
+                answer_age_ms = state.store_answer_age_us() / US_PER_MS, error:%;
+                "a store read failed"
+            );
             client.disconnect();
             match error {
                 StoreError::HistoryCompacted => StoreCallOutcome::HistoryCompacted,
