End the holds of replicas before nodes count as caught up after an outage

What callers saw: a replica whose entry was removed just before a short outage of the store got requests later than 4 s after its end, where nodes are in touch again and DRAIN holds.

No one bounded hang and hold together.

Change: the reducer StoreOutage keeps the latest time at which the store was certainly unavailable, the start of a call without an answer or a refusal, and bounds the hold by `store_recovery_ms` from there. It works as the outage ended after that time, whenever the node finds out. Replicas keep 1.7 s or more of the 2.2 s to register again.

The bound of discovery's expired_entries_are_held is unchanged; it now passes the end of the hold, which store_outage derives in tests of its own.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -276,6 +276,31 @@
     assert_eq!(late, 0, "requests later than {DRAIN_TIME:?} after the removal");
 }
 
+/// Guards against work for a replica that left just before a short outage, in which the removal of its
+/// entry is not read, and after which it is held as if its entry had expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_departed_before_outage_gets_no_work() {
+    let mut cluster = Cluster::start(2).await;
+    tokio::time::sleep(IN_TOUCH_AFTER).await;
+    cluster.publish(&routes_with("before"));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    cluster.store.deregister_replica("db");
+    cluster.store.set_mode(StoreMode::Unresponsive);
+    // The next watch begins just before the store is back.
+    tokio::time::sleep(Duration::from_millis(450)).await;
+    cluster.store.set_mode(StoreMode::Up);
+    tokio::time::sleep(IN_TOUCH_AFTER).await;
+    let before = cluster.replica("db").received_requests().len();
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        for gateway in 0..2 {
+            assert_eq!(cluster.ask(gateway, "/desk/7").await.status, 200);
+        }
+    }
+    let late = cluster.replica("db").received_requests().len() - before;
+    assert_eq!(late, 0, "requests later than {IN_TOUCH_AFTER:?} after the outage");
+}
+
 /// Guards against requests to a failure domain that is out of service.
 ///
 /// It must get requests again once it is brought back.
--- a/crates/sassafrasproxy-core/src/forward/registry/discovery/events.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/discovery/events.rs
@@ -53,7 +53,10 @@
     /// The store stopped answering.
     StoreUnavailable,
     /// The store answers again.
-    StoreRecovered,
+    StoreRecovered {
+        /// The time until which replicas whose entries are gone are held, in microseconds.
+        hold_until_us: u64,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/sassafrasproxy-core/src/forward/registry/discovery/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/discovery/mod.rs
@@ -20,12 +20,6 @@
     QuarantineRecords, RegistryChanges, RegistryEntry, RegistryKey, RolloutState, RouteTable,
 };
 
-/// The time for which a replica whose entry expired is held after the store recovers, in
-/// microseconds.
-///
-/// The store's operators promise that replicas register again within about two seconds.
-const REREGISTRATION_GRACE_US: u64 = 2_200_000;
-
 /// A node's view of the entries of the store, which changes only by the events passed to `step`.
 #[derive(Debug, Default)]
 pub struct Discovery {
@@ -94,7 +88,7 @@
             }
             DiscoveryEvent::PeerSyncStarted => self.is_store_unavailable = false,
             DiscoveryEvent::StoreUnavailable => self.is_store_unavailable = true,
-            DiscoveryEvent::StoreRecovered => self.extend_holds(now_us),
+            DiscoveryEvent::StoreRecovered { hold_until_us } => self.extend_holds(hold_until_us),
             DiscoveryEvent::Tick => self.remove_expired_holds(now_us),
         }
     }
@@ -252,11 +246,11 @@
     }
 
     /// Extends the holds when the store recovers, so that held replicas can register again in time.
-    fn extend_holds(&mut self, now_us: u64) {
+    fn extend_holds(&mut self, hold_until_us: u64) {
         if !std::mem::take(&mut self.is_store_unavailable) {
             return;
         }
-        self.hold_until_us = now_us + REREGISTRATION_GRACE_US;
+        self.hold_until_us = hold_until_us;
         for replica in self.replicas.values_mut() {
             replica.held_until_us = replica.held_until_us.map(|_| self.hold_until_us);
         }
--- a/crates/sassafrasproxy-core/src/forward/registry/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/mod.rs
@@ -16,6 +16,7 @@
 mod recent_updates;
 mod rollouts;
 mod source_selector;
+mod store_outage;
 mod store_sync;
 mod versioned_entries;
 
@@ -31,4 +32,5 @@
 pub use self::lag_check::LagCheck;
 pub use self::rollouts::RolloutParticipant;
 pub use self::source_selector::{BootstrapSource, SyncSource};
+pub use self::store_outage::{OutageChange, StoreOutage, StoreReadEnd};
 pub use self::store_sync::{StoreCallOutcome, StoreStep, StoreSync, StoreSyncPolicy};
--- a/crates/sassafrasproxy-core/tests/discovery.rs
+++ b/crates/sassafrasproxy-core/tests/discovery.rs
@@ -136,7 +136,8 @@
     let mut discovery = listed_discovery();
     discovery.take_catalogue();
     discovery.step(10_000_000, DiscoveryEvent::StoreUnavailable);
-    discovery.step(20_000_000, DiscoveryEvent::StoreRecovered);
+    let recovered = DiscoveryEvent::StoreRecovered { hold_until_us: 22_200_000 };
+    discovery.step(20_000_000, recovered);
     discovery.step(20_100_000, replica_removed("a", 8));
     discovery.step(20_100_000, replica_removed("b", 9));
     assert!(discovery.take_catalogue().is_none(), "no replica was removed");
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -10,8 +10,9 @@
 use sassafrasproxy_config::GatewaySettings;
 use sassafrasproxy_core::{
     DatagramKind, DirectoryNode, Discovery, DiscoveryEvent, DiscoveryLogEvent, Gossip,
-    GossipPolicy, MemberLogEvent, RolloutCoordinator, RolloutLogEvent, RolloutParticipant,
-    RolloutPhase, TrialCount, TrialReport, fingerprint_text, ingress_nodes,
+    GossipPolicy, MemberLogEvent, OutageChange, RolloutCoordinator, RolloutLogEvent,
+    RolloutParticipant, RolloutPhase, StoreOutage, StoreReadEnd, TrialCount, TrialReport,
+    US_PER_MS, fingerprint_text, ingress_nodes,
 };
 use sassafrasproxy_platform::StoreError;
 use sassafrasproxy_wire::{MemberState, MemberUpdate};
@@ -97,8 +98,8 @@
     last_store_answer_us: Cell<u64>,
     /// The latest store revision that this node has applied.
     store_revision: watch::Sender<u64>,
-    /// Whether the last store read failed and no followed peer has reached the store since.
-    is_store_unavailable: Cell<bool>,
+    /// Whether the store is unavailable, and no followed peer has reached it since.
+    store_outage: RefCell<StoreOutage>,
     /// The hash of the members, and the work on the ingress nodes in thousandths of a core, at the
     /// last publication.
     published_members: Cell<(u64, u32)>,
@@ -116,6 +117,7 @@
         settings.borrow().rollouts.map(|_| RolloutParticipant { node: local_member.node.clone() });
     let gossip =
         Gossip::new(&local_member, seeds, GossipPolicy::default(), rand::random(), clock.now_us());
+    let store_outage = StoreOutage::new(settings.borrow().store_recovery_ms * US_PER_MS);
     let state = Rc::new(ControlState {
         clock,
         gossip: RefCell::new(gossip),
@@ -128,7 +130,7 @@
         metrics,
         last_store_answer_us: Cell::new(clock.now_us()),
         store_revision: watch::Sender::new(0),
-        is_store_unavailable: Cell::new(false),
+        store_outage: RefCell::new(store_outage),
         published_members: Cell::default(),
     });
     state.publish_members();
@@ -195,12 +197,12 @@
 
     /// Whether the store is unavailable to this node, so that it pulls registry entries from peers.
     pub fn is_store_unavailable(&self) -> bool {
-        self.is_store_unavailable.get()
+        self.store_outage.borrow().is_unavailable()
     }
 
     /// Records that the followed peer reaches the store.
     pub fn mark_store_available(&self) {
-        self.is_store_unavailable.set(false);
+        self.store_outage.borrow_mut().record_peer_contact();
     }
 
     /// Raises the applied store revision, and announces it to peers; a lower revision is ignored.
@@ -339,30 +341,49 @@
         }
     }
 
+    /// Returns the time until the next tick: [`TICK_INTERVAL`], or less if a hold ends sooner.
+    fn time_to_tick(&self) -> Duration {
+        let now_us = self.clock.now_us();
+        let hold_end_us = self.discovery.borrow().next_hold_expiry_us();
+        let next_end_us = hold_end_us.filter(|end_us| *end_us > now_us);
+        next_end_us.map_or(TICK_INTERVAL, |end_us| {
+            Duration::from_micros(end_us - now_us).min(TICK_INTERVAL)
+        })
+    }
+
     /// Returns the time since the last successful call to the store, or since the start, in
     /// microseconds.
     pub fn store_answer_age_us(&self) -> u64 {
         self.clock.now_us().saturating_sub(self.last_store_answer_us.get())
     }
 
-    /// Records the result of a store read, and notifies discovery when the store becomes
-    /// unavailable or recovers.
-    ///
-    /// A reply that the history was compacted is an answer: the store is available then.
-    pub fn record_store_read(&self, error: Option<&StoreError>) {
-        let is_unavailable = !matches!(error, None | Some(StoreError::HistoryCompacted));
-        self.gossip.borrow_mut().set_store_unavailable(is_unavailable);
-        if self.is_store_unavailable.replace(is_unavailable) == is_unavailable {
-            return;
-        }
-        match error {
-            Some(error) if is_unavailable => {
+    /// Records the result of a store read that was sent at `sent_us`, and notifies discovery when
+    /// the store becomes unavailable or recovers.
+    pub fn record_store_read(&self, sent_us: u64, error: Option<&StoreError>) {
+        let end = match error {
+            // A reply that the history was compacted is an answer too.
+            None | Some(StoreError::HistoryCompacted) => StoreReadEnd::Answered,
+            Some(StoreError::NoAnswer { .. }) => StoreReadEnd::NoAnswer,
+            Some(
+                StoreError::Refused { .. }
+                | StoreError::Conflict
+                | StoreError::LeaseExpired
+                | StoreError::Malformed { .. },
+            ) => StoreReadEnd::Refused,
+        };
+        let change = self.store_outage.borrow_mut().record(sent_us, self.clock.now_us(), end);
+        self.gossip.borrow_mut().set_store_unavailable(self.is_store_unavailable());
+        match change {
+            OutageChange::None => {}
+            OutageChange::Started => {
+                let error = error.map(StoreError::to_string).unwrap_or_default();
                 log::warn!(error:%; "the store is unavailable");
                 self.apply_events([DiscoveryEvent::StoreUnavailable]);
             }
-            _ => {
-                log::info!("the store is back");
-                self.apply_events([DiscoveryEvent::StoreRecovered]);
+            OutageChange::Ended { hold_until_us } => {
+                let hold_ms = hold_until_us.saturating_sub(self.clock.now_us()) / US_PER_MS;
+                log::info!(hold_ms; "the store is back");
+                self.apply_events([DiscoveryEvent::StoreRecovered { hold_until_us }]);
             }
         }
     }
@@ -373,7 +394,7 @@
 async fn tick(state: Rc<ControlState>) {
     let mut was_out_of_touch = false;
     loop {
-        sleep(TICK_INTERVAL).await;
+        sleep(state.time_to_tick()).await;
         let is_out_of_touch = state.is_out_of_touch();
         let store_revision = state.store_revision();
         if is_out_of_touch && !was_out_of_touch {
--- a/crates/sassafrasproxy-gateway/src/store_follower.rs
+++ b/crates/sassafrasproxy-gateway/src/store_follower.rs
@@ -84,7 +84,7 @@
             }
         };
         state.count_store_call(call, outcome.as_ref().err());
-        state.record_store_read(outcome.as_ref().err());
+        state.record_store_read(sent_us, outcome.as_ref().err());
         let outcome = outcome.unwrap_or_else(|error| {
             let now_us = state.clock.now_us();
             log::info!(
