Take a watch that the store cuts for no outage unless calls go on breaking off

What callers saw: while the store cut watches in series, a replica whose entry was removed went on getting requests for as long as the cuts did.

Cause: each failed read was an outage, also a cut of a watch that waits, which the store's protocol names as normal. An outage's end extends all holds by 2.2 s, so cuts 0.7 s apart kept a departed replica in use.

Change: reads that break off make an outage from the third in a row without an answer between. It works as a store that is available answers the call after a cut, and one that breaks off every call is still found unavailable within half a second, so that peers are asked.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -276,6 +276,35 @@
     assert_eq!(late, 0, "requests later than {DRAIN_TIME:?} after the removal");
 }
 
+/// Guards against work for a replica whose entry was removed while the store cuts one watch after
+/// another, each of which would hold the replica for longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn departed_replica_gets_no_work_while_cuts_go_on() {
+    let mut cluster = Cluster::start(0).await;
+    let proxy = FaultProxy::start(cluster.store.address());
+    let gateway = cluster.add_gateway_with_store(proxy.address());
+    cluster.ask_until(gateway, "/desk/1", |answer| answer.status == 200).await;
+    let (mut removed, mut late) = (None, 0);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(10) {
+        proxy.reset_open_connections();
+        if removed.is_none() && start.elapsed() > Duration::from_secs(3) {
+            cluster.store.deregister_replica("db");
+            removed = Some(Instant::now());
+        }
+        let next_cut = Instant::now() + Duration::from_millis(700);
+        while Instant::now() < next_cut {
+            let before = cluster.replica("db").received_requests().len();
+            let is_departed = removed.is_some_and(|removed| removed.elapsed() > DRAIN_TIME);
+            assert_eq!(cluster.ask(gateway, "/desk/7").await.status, 200);
+            if is_departed {
+                late += cluster.replica("db").received_requests().len() - before;
+            }
+        }
+    }
+    assert_eq!(late, 0, "requests later than {DRAIN_TIME:?} after the removal");
+}
+
 /// Guards against work for a replica that left just before a short outage, in which the removal of its
 /// entry is not read, and after which it is held as if its entry had expired.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sassafrasproxy-core/src/forward/registry/store_outage.rs
+++ b/crates/sassafrasproxy-core/src/forward/registry/store_outage.rs
@@ -12,6 +12,11 @@
 /// A request that has just been sent still has to reach its replica.
 const HOLD_MARGIN_US: u64 = 200_000;
 
+/// The number of reads in a row that break off after which the store is unavailable.
+///
+/// A store that is available may break off a watch that waits, but it answers the next ones.
+const MAX_BROKEN_OFF: u32 = 3;
+
 /// Whether the store is unavailable to this node.
 #[derive(Debug, Clone)]
 pub struct StoreOutage {
@@ -20,12 +25,14 @@
     /// The latest time at which the store was certainly unavailable, in microseconds; `None` while it
     /// is available.
     unavailable_us: Option<u64>,
+    /// The number of reads that broke off since the last answer.
+    broken_off_count: u32,
 }
 
 impl StoreOutage {
     /// Creates a state in which the store is available.
     pub fn new(recovery_us: u64) -> Self {
-        Self { recovery_us, unavailable_us: None }
+        Self { recovery_us, unavailable_us: None, broken_off_count: 0 }
     }
 
     /// Whether the store is unavailable.
@@ -40,6 +47,13 @@
             StoreReadEnd::Refused => now_us,
             // The store may be back since, and have forgotten the call.
             StoreReadEnd::NoAnswer => sent_us,
+            StoreReadEnd::BrokenOff => {
+                self.broken_off_count += 1;
+                if !self.is_unavailable() && self.broken_off_count < MAX_BROKEN_OFF {
+                    return OutageChange::None;
+                }
+                sent_us
+            }
         };
         match self.unavailable_us.replace(unavailable_us) {
             None => OutageChange::Started,
@@ -58,6 +72,7 @@
     /// the time at which nodes must know that they have left. That time counts from the end of the
     /// outage, which came at some time after `unavailable_us`.
     fn end(&mut self, now_us: u64) -> OutageChange {
+        self.broken_off_count = 0;
         let Some(unavailable_us) = self.unavailable_us.take() else { return OutageChange::None };
         let recovered_us = (unavailable_us + self.recovery_us).saturating_sub(HOLD_MARGIN_US);
         let hold_until_us = (now_us + REREGISTRATION_GRACE_US).min(recovered_us);
@@ -74,6 +89,8 @@
     Refused,
     /// No answer came.
     NoAnswer,
+    /// The connection ended before the answer was complete.
+    BrokenOff,
 }
 
 /// A change in whether the store is unavailable.
--- a/crates/sassafrasproxy-core/tests/store_outage.rs
+++ b/crates/sassafrasproxy-core/tests/store_outage.rs
@@ -50,3 +50,27 @@
     assert!(!outage.is_unavailable());
     assert_eq!(outage.record(1, 2, StoreReadEnd::Answered), OutageChange::None);
 }
+
+/// Guards against holds that go on for as long as the store cuts watches and answers the calls after
+/// them.
+#[test]
+fn cut_watches_make_no_outage() {
+    let mut outage = new_outage();
+    for cut in 0..20 {
+        let cut_us = cut * 700_000;
+        let change = outage.record(cut_us, cut_us + 500_000, StoreReadEnd::BrokenOff);
+        assert_eq!(change, OutageChange::None);
+        let change = outage.record(cut_us + 550_000, cut_us + 560_000, StoreReadEnd::Answered);
+        assert_eq!(change, OutageChange::None);
+    }
+}
+
+/// Guards against a node that never asks its peers, as each of its calls to the store breaks off.
+#[test]
+fn calls_that_all_break_off_make_outage() {
+    let mut outage = new_outage();
+    let changes = [0, 100_000, 250_000]
+        .map(|sent_us| outage.record(sent_us, sent_us + 1_000, StoreReadEnd::BrokenOff));
+    assert_eq!(changes, [OutageChange::None, OutageChange::None, OutageChange::Started]);
+    assert!(outage.is_unavailable());
+}
--- a/crates/sassafrasproxy-gateway/src/control.rs
+++ b/crates/sassafrasproxy-gateway/src/control.rs
@@ -364,6 +364,7 @@
             // A reply that the history was compacted is an answer too.
             None | Some(StoreError::HistoryCompacted) => StoreReadEnd::Answered,
             Some(StoreError::NoAnswer { .. }) => StoreReadEnd::NoAnswer,
+            Some(StoreError::BrokenOff { .. }) => StoreReadEnd::BrokenOff,
             Some(
                 StoreError::Refused { .. }
                 | StoreError::Conflict
--- a/crates/sassafrasproxy-gateway/src/http_client.rs
+++ b/crates/sassafrasproxy-gateway/src/http_client.rs
@@ -49,8 +49,9 @@
 
     /// Makes a call and returns the status and the body.
     ///
-    /// Returns [`StoreError::NoAnswer`] if the connection fails, or if the answer is not complete
-    /// within `limit`. After any failure the next call uses a new connection.
+    /// Returns [`StoreError::BrokenOff`] if the connection ends before the answer is complete, and
+    /// [`StoreError::NoAnswer`] if none can be opened or the answer is not complete within `limit`.
+    /// After any failure the next call uses a new connection.
     pub async fn call(
         &mut self,
         call: StoreRequest,
@@ -86,7 +87,7 @@
         let request = request.body(Full::new(call.body)).map_err(no_answer)?;
         let connection = self.connection().await?;
         let sent = connection.send(request, MAX_BODY_BYTES).await;
-        let response = sent.map_err(|error| no_answer(error.into_error()))?;
+        let response = sent.map_err(|error| broken_off(&error.into_error()))?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
         let body = body.collect().await.map_err(|error| body_error(error.as_ref()))?;
@@ -129,5 +130,9 @@
     if error.is::<LengthLimitError>() {
         return no_answer(format_args!("the answer is larger than {MAX_BODY_BYTES} bytes"));
     }
-    no_answer(error)
+    broken_off(error)
+}
+
+fn broken_off(error: &(dyn Error + Send + Sync + 'static)) -> StoreError {
+    StoreError::BrokenOff { detail: eco_format!("{error}") }
 }
