Bound a node's watch of the platform by the time in which configurations are in force

What callers saw: after an outage in which the platform hangs, the product's own nodes went on by the old configuration, up to 22 s.

Cause: as at gateways, a watch waits as long as is cheap while the platform answers: 20 s, 2 s for its answer, and pauses up to 5 s. A platform that has forgotten the call shows in nothing else.

Change: a watch waits 2 s and the pause is 2 s at the most, so that any hung call ends within 6 s with its timeout, whenever it begins.

--- a/crates/sassafrasproxy-node/src/control.rs
+++ b/crates/sassafrasproxy-node/src/control.rs
@@ -20,14 +20,17 @@
 use crate::publish::read_configuration;
 use crate::shared::Shared;
 
-/// The maximum wait of one long poll for changes in the store.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// The time for which a watch of the store waits for a change.
+///
+/// The store may never answer a watch that it took in an outage. So the wait, the timeout of the call
+/// and the backoff together are shorter than the time in which a configuration must be in force.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// The backoff after the first failed call to the store; it doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 
 /// The maximum backoff after a failed call to the store.
-const MAX_BACKOFF: Duration = Duration::from_secs(5);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
 /// An input of the control thread.
 #[derive(Debug)]
