Register again as soon as a registration is gone

What was seen: after an outage in which leases end, the nodes' registrations were missing for up to 10 s, so that a node which starts then and whose seeds are gone finds no peers.

Cause: a node looks at its registration only when it renews its lease, though its watch brings the removal much sooner.

Change: between renewals a node looks each 0.5 s at what it has read, and registers again once its entry was listed and is missing twice in a row. It works without calls, and an entry that is on its way, or missing while the store is listed, is not taken as removed.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -228,6 +228,31 @@
     }
 }
 
+/// Guards against starting nodes that find no peers after an outage in which leases ended, as the
+/// nodes that run register again only when they renew their leases.
+#[tokio::test(flavor = "multi_thread")]
+async fn registers_soon_after_outage() {
+    const PREFIX: &str = "sassafrasproxy/nodes/";
+    let cluster = Cluster::start(2).await;
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while cluster.store.keys(PREFIX).len() < 2 {
+        assert!(Instant::now() < end, "the nodes never registered");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.store.set_mode(StoreMode::Unresponsive);
+    for key in cluster.store.keys(PREFIX) {
+        cluster.store.remove(&key);
+    }
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    cluster.store.set_mode(StoreMode::Up);
+    let back = Instant::now();
+    while cluster.store.keys(PREFIX).len() < 2 {
+        assert!(back.elapsed() < IN_TOUCH_AFTER, "a node is not registered");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against new work for a replica that drains or whose entry was removed.
 #[tokio::test(flavor = "multi_thread")]
 async fn departed_replica_gets_no_work() {
--- a/crates/sassafrasproxy-gateway/src/registration.rs
+++ b/crates/sassafrasproxy-gateway/src/registration.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sassafrasproxy_core::NodeRegistration;
+use sassafrasproxy_core::{NodeRegistration, RegistrationCheck};
 use sassafrasproxy_platform::{
     StoreError, StoreRequest, decode_lease, decode_write_status, node_key,
 };
 use sassafrasproxy_wire::{MemberState, MemberUpdate};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::control::{CALL_TIMEOUT, ControlState};
 use crate::http_client::PersistentClient;
@@ -26,8 +26,8 @@
 /// random.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// The interval at which an unregistered node checks whether it should register.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which a node checks whether it should register, or is no longer registered.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Keeps this node registered if it is one of the few nodes that should be.
 ///
@@ -37,7 +37,7 @@
     let mut lease = None;
     loop {
         if lease.is_none() && !state.gossip.borrow().should_register(state.clock.now_us()) {
-            sleep(ROLE_CHECK_INTERVAL).await;
+            sleep(CHECK_INTERVAL).await;
             continue;
         }
         let is_registered = state.discovery.borrow().is_registered(&local_member.node);
@@ -50,15 +50,27 @@
             }
         };
         state.count_store_call(call, result.as_ref().err());
-        let delay = match result {
-            Ok(()) => RENEW_INTERVAL,
+        match result {
+            Ok(()) => {
+                // Renews the lease after the timeout; an entry that is gone needs a new one sooner.
+                let _ =
+                    timeout(RENEW_INTERVAL, wait_until_removed(&state, &local_member.node)).await;
+            }
             Err(error) => {
                 log::info!(error:%; "registering this node in the store failed; retrying");
                 lease = None;
-                REGISTER_RETRY_DELAY.mul_f64(1.0 + rand::random::<f64>())
+                sleep(REGISTER_RETRY_DELAY.mul_f64(1.0 + rand::random::<f64>())).await;
             }
-        };
-        sleep(delay).await;
+        }
+    }
+}
+
+/// Waits until this node's registration has been removed from the store, for example because its
+/// lease ended in an outage.
+async fn wait_until_removed(state: &ControlState, node: &str) {
+    let mut check = RegistrationCheck::default();
+    while !check.record(state.discovery.borrow().is_registered(node)) {
+        sleep(CHECK_INTERVAL).await;
     }
 }
 
