Play a followed peer that is paused as a configuration is published

By reading, the long poll of a follower has the same long wait and limit as a watch of the store had.

--- a/crates/sassafrasproxy-cli/tests/gateway_store.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_store.rs
@@ -30,6 +30,9 @@
 /// The time after an outage from which nodes count as in touch with the store again.
 const IN_TOUCH_AFTER: Duration = Duration::from_secs(4);
 
+/// The time within which a configuration must be in force at nodes in touch.
+const ACTIVE_WITHIN: Duration = Duration::from_secs(3);
+
 /// The time for which a replica that leaves goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
@@ -124,6 +127,32 @@
     assert!(late.is_empty(), "pause, outage, whether forgetful, in force after: {late:?}");
 }
 
+/// Guards against a configuration that is late at a node whose followed peer takes its poll and never
+/// answers, just when the configuration is published.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_soon_beside_paused_peer() {
+    let mut cluster = Cluster::start(8).await;
+    wait_for_full_membership(&cluster).await;
+    // Nodes choose the peer that they follow again at the end of each poll.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let followed_peer = |gateway: &GatewayProcess| {
+        let lines = gateway.log_lines();
+        let line = lines.into_iter().rfind(|line| line["message"] == "syncing from a peer")?;
+        line["peer"].as_str().map(str::to_owned)
+    };
+    let (follower, peer) =
+        (0..8).find_map(|index| Some((index, followed_peer(&cluster.gateways[index])?))).unwrap();
+    let peers = &cluster.gateways;
+    let paused = peers.iter().find(|gateway| gateway.peers_address().to_string() == peer).unwrap();
+    paused.signal(Signal::SIGSTOP).unwrap();
+    cluster.publish(&routes_with("beside"));
+    let published = Instant::now();
+    cluster.ask_until(follower, "/beside/7", |answer| answer.status == 200).await;
+    let took = published.elapsed();
+    println!("in force at the follower after {took:?}");
+    assert!(took < ACTIVE_WITHIN, "the follower has the configuration after {took:?}");
+}
+
 /// Guards against a list that stops at a foreign or malformed item, or after its first page.
 #[tokio::test(flavor = "multi_thread")]
 async fn paged_list_skips_foreign_items() {
