Write roll-out records beside the coordinator's decisions

What callers saw: with four roll-outs just ordered and the store silent, a version of a fifth service that began to fail stayed on trial for more than 5 s.

Cause: the coordinator awaits its writes one after another inside the loop that decides, 1.5 s for each that hangs; reports of bad answers wait for the end of the round. Found as the cause of the late configurations was looked for at each call that waits.

Change: a write runs beside the loop, one at a time for each service. It works as decisions depend on reports and on what the store has shown, never on the answer to a write.

--- a/crates/sassafrasproxy-cli/tests/gateway_rollouts.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_rollouts.rs
@@ -14,11 +14,14 @@
 };
 use serde_json::json;
 
-use crate::gateway::{Cluster, HOST, WAIT_TIMEOUT, unique_attempt_id};
+use crate::gateway::{Cluster, HOST, SHARD_COUNT, WAIT_TIMEOUT, unique_attempt_id};
 
 /// The period of a rollout order, in seconds: several times the time that its last phases need.
 const PERIOD_S: f64 = 8.0;
 
+/// The time within which a bad version must be stopped.
+const STOPPED_WITHIN: Duration = Duration::from_secs(5);
+
 /// The pause between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -179,6 +182,53 @@
     assert!(run_count(&cluster, ["na", "nb"]) <= 50);
 }
 
+/// Guards against a bad version that is stopped late, as the coordinator waits for its writes for other
+/// rollouts, one after another, while the store is silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn hung_writes_delay_no_stop() {
+    let mut cluster = start_with_new_version().await;
+    register_new_version(&cluster);
+    for shard in 0..SHARD_COUNT {
+        let replica = ReplicaStandIn::start(&format!("v{shard}"), &format!("shard-{shard}"), "");
+        cluster.replicas.push(replica.with_version("v2"));
+        cluster.replica(&format!("v{shard}")).register(&cluster.store, "west", "ready");
+    }
+    cluster.store.order_rollout("desk", "v2", PERIOD_S);
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while run_count(&cluster, ["na", "nb"]) == 0 {
+        assert!(Instant::now() < end, "the trial did not start");
+        cluster.ask(0, "/desk/7").await;
+    }
+    for shard in 0..SHARD_COUNT {
+        cluster.store.order_rollout(&format!("shard-{shard}"), "v2", PERIOD_S);
+    }
+    let last_shard = format!("shard-{}", SHARD_COUNT - 1);
+    let has_line = |gateway: &GatewayProcess, message: &str, service: &str| {
+        let lines = gateway.log_lines();
+        lines.iter().any(|line| line["message"] == message && line["service"] == service)
+    };
+    while !has_line(&cluster.gateways[0], "a rollout order changed", &last_shard) {
+        assert!(Instant::now() < end, "the orders were not seen");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    cluster.store.set_mode(StoreMode::Unresponsive);
+    for id in ["na", "nb"] {
+        cluster.replica(id).set_mode(ReplicaMode::Failing);
+    }
+    let failing = Instant::now();
+    let is_stopped = |gateway: &GatewayProcess| {
+        gateway.log_lines().iter().any(|line| line["message"] == "a rollout was stopped")
+    };
+    while !cluster.gateways.iter().any(is_stopped) {
+        assert!(failing.elapsed() < STOPPED_WITHIN, "the version is still on trial");
+        for index in 0..2 {
+            assert_eq!(cluster.ask(index, "/desk/7").await.status, 200);
+        }
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    println!("stopped after {:?}", failing.elapsed());
+}
+
 /// Guards against a trial that does not end after one of the two gateways has crashed.
 #[tokio::test(flavor = "multi_thread")]
 async fn trial_survives_killed_node() {
--- a/crates/sassafrasproxy-gateway/src/rollouts.rs
+++ b/crates/sassafrasproxy-gateway/src/rollouts.rs
@@ -1,9 +1,11 @@
 //! Feeds the rollout coordinator with reports and carries out its decisions.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ecow::EcoString;
+use indexmap::IndexSet;
 use sassafrasproxy_core::{
     DiscoveryEvent, OutgoingDatagram, RolloutEffect, RolloutLogEvent, RolloutPhase, RolloutPolicy,
     RolloutRecord, RolloutState, TrialReport,
@@ -13,6 +15,7 @@
     rollout_record_key, rollout_status_key,
 };
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::control::{CALL_TIMEOUT, ControlState};
@@ -26,7 +29,8 @@
 /// `stopped_orders` passes the revisions of stopped orders to the task that sends datagrams to
 /// peers.
 pub async fn run_coordinator(state: Rc<ControlState>, stopped_orders: mpsc::UnboundedSender<u64>) {
-    let mut client = PersistentClient::new(state.settings().store);
+    // A write that the store does not answer must not hold up the decisions on other rollouts.
+    let services_in_flight: Rc<RefCell<IndexSet<EcoString>>> = Rc::default();
     loop {
         let states = state.discovery.borrow().rollouts();
         if !states.iter().any(RolloutState::is_running) {
@@ -55,7 +59,14 @@
                     let _ = stopped_orders.send(order_revision);
                 }
                 RolloutEffect::Write { record, expected_revision } => {
-                    write_record(&state, &mut client, &record, expected_revision).await;
+                    if !services_in_flight.borrow_mut().insert(record.service.clone()) {
+                        continue;
+                    }
+                    let (state, in_flight) = (state.clone(), services_in_flight.clone());
+                    spawn_local(async move {
+                        write_record(&state, &record, expected_revision).await;
+                        in_flight.borrow_mut().swap_remove(&record.service);
+                    });
                 }
             }
         }
@@ -97,12 +108,7 @@
 ///
 /// A write without an answer may have been applied, or may be applied later. The coordinator
 /// retries until it sees a new revision of the record.
-async fn write_record(
-    state: &ControlState,
-    client: &mut PersistentClient,
-    record: &RolloutRecord,
-    expected_revision: u64,
-) {
+async fn write_record(state: &ControlState, record: &RolloutRecord, expected_revision: u64) {
     let status = match record.phase {
         RolloutPhase::Trial | RolloutPhase::Promoted => RolloutStatus::Running,
         RolloutPhase::Completed => RolloutStatus::Completed,
@@ -116,6 +122,7 @@
     let service = &record.service;
     let values = [(rollout_record_key(service), value), (rollout_status_key(service), status)];
     let call = StoreRequest::put_if_revision(expected_revision, &values);
+    let mut client = PersistentClient::new(state.settings().store);
     let result = client.call(call, CALL_TIMEOUT).await;
     let result = result.and_then(|(status, _)| decode_write_status(status));
     state.count_store_call("rollout", result.as_ref().err());
@@ -125,7 +132,6 @@
             log::info!(service:%; "the rollout record was not written: its revision has changed");
         }
         Err(error) => {
-            client.disconnect();
             log::warn!(service:%, error:%; "writing a rollout record failed or was not confirmed");
         }
     }
