Let the soak hold gateways to the configuration of a store that is back

Four seconds after all faults are taken back, each gateway must now have the configuration that was published then.

--- a/crates/sassafrasproxy-soak/src/cluster.rs
+++ b/crates/sassafrasproxy-soak/src/cluster.rs
@@ -173,12 +173,7 @@
             let lines = gateway.log_lines();
             let leak = lines.iter().find(|line| line.to_string().contains(KEY_PREFIX));
             violations.extend(leak.map(|line| format!("a log line contains a key: {line}")));
-            let versions: Vec<u64> = gateway
-                .log_lines()
-                .iter()
-                .filter(|line| line["message"] == "a configuration is in force")
-                .filter_map(|line| line["version"].as_u64())
-                .collect();
+            let versions = active_versions(gateway);
             if !versions.is_sorted() {
                 violations
                     .push(format!("a gateway went back to an older configuration: {versions:?}"));
@@ -291,6 +286,18 @@
         self.gateways.iter().try_for_each(|gateway| gateway.signal(Signal::SIGCONT))
     }
 
+    /// Returns a violation for each gateway in which the newest configuration is not in force.
+    pub fn late_configurations(&self) -> Vec<String> {
+        let newest = self.configuration_version;
+        let has_newest = |gateway: &&GatewayProcess| active_versions(gateway).contains(&newest);
+        let late = self.gateways.iter().filter(|gateway| !has_newest(gateway));
+        late.map(|gateway| {
+            let versions = active_versions(gateway);
+            format!("a gateway does not have configuration {newest} in force, but {versions:?}")
+        })
+        .collect()
+    }
+
     /// Restarts each gateway in turn, as an update does.
     ///
     /// Returns an error if a gateway can't be restarted or doesn't apply the configuration in time.
@@ -391,3 +398,13 @@
 pub fn shard_record(replica: u8) -> Vec<u8> {
     vec![replica / 2 + 1; 16]
 }
+
+/// Returns the versions of the configurations that a gateway has put in force, oldest first.
+fn active_versions(gateway: &GatewayProcess) -> Vec<u64> {
+    gateway
+        .log_lines()
+        .iter()
+        .filter(|line| line["message"] == "a configuration is in force")
+        .filter_map(|line| line["version"].as_u64())
+        .collect()
+}
--- a/crates/sassafrasproxy-soak/src/lib.rs
+++ b/crates/sassafrasproxy-soak/src/lib.rs
@@ -43,6 +43,9 @@
 /// The time between two requests of one caller.
 const CALLER_INTERVAL: Duration = Duration::from_millis(8);
 
+/// The time once all faults are cleared after which the newest configuration is in force everywhere.
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(4);
+
 /// The time that the system gets to recover once all faults are cleared.
 ///
 /// It exceeds the four seconds after which callers give up on an answer.
@@ -79,7 +82,9 @@
     let end = Duration::from_secs(settings.duration_s);
     tokio::time::sleep(end.saturating_sub(start.elapsed())).await;
     cluster.clear_faults()?;
-    tokio::time::sleep(RECOVERY_TIME).await;
+    tokio::time::sleep(CONFIGURATION_LIMIT).await;
+    let late_configurations = cluster.late_configurations();
+    tokio::time::sleep(RECOVERY_TIME - CONFIGURATION_LIMIT).await;
     checker.begin_planned_restarts();
     cluster.rolling_restart().await?;
     let receives_requests = cluster.receives_requests_after_drain(0, DRAIN_LIMIT).await;
@@ -95,6 +100,7 @@
     if receives_requests {
         violations.push("a draining replica got new requests after the drain limit".into());
     }
+    violations.extend(late_configurations);
     violations.extend(cluster.violations());
     Ok(SoakReport { violations, status_counts })
 }
