--- a/crates/sassafrasproxy-cli/tests/gateway/mod.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway/mod.rs
@@ -187,6 +187,14 @@
     ]
 }
 
+/// Returns the routes of the test cluster and one more to the service `desk`, `/name/`.
+pub fn routes_with(name: &str) -> Vec<DeclaredRoute> {
+    let mut routes = routes();
+    let desk = DeclaredTarget::Service("desk".into());
+    routes.push(route(name, &format!("/{name}/"), true, desk));
+    routes
+}
+
 /// Returns a route of the test cluster's host.
 pub fn route(
     name: &str,
