Send to replicas directly when the relay on the way to them has failed

Callers saw 503 not_run, sometimes 502, for queries whose replicas are all up, as a relay in the replicas' failure domain was gone, and again each time the node tried that relay until it had left the members.

Cause: a fetch entered the replica as tried when the relay was called, and a relay that refused the connection or ended left it there; a shard with no other replica counted as missing. Evidence: in the logs of failed runs 'Connection refused' stands 1 ms before 'NoReplica after s0b' for each shard, and the next query is served directly.

A failed relay now reports the sends that it leaves, apart from results of replicas: their replicas count as untried and this node sends to them itself. That holds whatever ended the call, and a call that may have run draws on the retry budget as before.

--- a/crates/sassafrasproxy-cli/tests/gateway_relays.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_relays.rs
@@ -36,6 +36,17 @@
         && answer.body[..] == top_records
 }
 
+/// Sends a query to the first gateway, whose answer must be complete.
+async fn ask_completely(cluster: &Cluster) {
+    let answer = cluster.ask(0, "/all/7").await;
+    let lines = cluster.gateways[0].log_lines();
+    assert!(
+        is_complete_answer(&answer),
+        "{answer:?}; log {:#?}",
+        &lines[lines.len().saturating_sub(25)..]
+    );
+}
+
 /// Returns the number of sends that the second gateway made for others.
 async fn relayed_sends(cluster: &Cluster) -> u64 {
     cluster.relayed_send_count(1).await
@@ -73,13 +84,20 @@
     cluster.gateways[1].signal(Signal::SIGKILL).unwrap();
     cluster.ask_until(0, "/all/7", is_complete_answer).await;
     for _ in 0..5 {
-        let answer = cluster.ask(0, "/all/7").await;
-        let lines = cluster.gateways[0].log_lines();
-        assert!(
-            is_complete_answer(&answer),
-            "{answer:?}; log {:#?}",
-            &lines[lines.len().saturating_sub(25)..]
-        );
+        ask_completely(&cluster).await;
+    }
+}
+
+/// Guards against queries that are refused each time a node tries again to reach a relay that is
+/// gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn gone_relay_costs_no_query() {
+    let mut cluster = start_two_domains().await;
+    cluster.gateways[1].signal(Signal::SIGKILL).unwrap();
+    cluster.gateways[1].wait_for_exit().unwrap();
+    for _ in 0..60 {
+        ask_completely(&cluster).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
 
--- a/crates/sassafrasproxy-core/src/forward/sending/fetch.rs
+++ b/crates/sassafrasproxy-core/src/forward/sending/fetch.rs
@@ -179,6 +179,14 @@
         }
     }
 
+    /// Records that the relay through which an attempt was made has failed.
+    ///
+    /// This says nothing of the replica, which may be picked again.
+    pub fn record_relay_failure(&mut self, replica: &str, result: SendResult) {
+        self.tried.retain(|tried| tried != replica);
+        self.record_result(result);
+    }
+
     fn send_or_fail(
         &mut self,
         now_us: u64,
@@ -213,7 +221,8 @@
     fn pick(&self, now_us: u64, plan: &FetchPlan, pool: &UpstreamPool) -> Option<EcoString> {
         let is_last = !plan.is_idempotent || self.attempts + 1 >= plan.max_attempts;
         let (service, expected_us, tried) = (&self.service, plan.expected_us, &self.tried);
-        if tried.is_empty()
+        if self.attempts == 0
+            && tried.is_empty()
             && let Some(replica) = pool.pick_on_trial(service, plan.route_class, now_us)
         {
             return Some(replica);
--- a/crates/sassafrasproxy-core/tests/fetches.rs
+++ b/crates/sassafrasproxy-core/tests/fetches.rs
@@ -100,6 +100,21 @@
     }
 }
 
+/// Guards against a query that is refused although its only replica is up, as a relay on the way to
+/// it is gone.
+#[test]
+fn relay_failure() {
+    for (result, cause) in
+        [(SendResult::Unsent, SendCause::First), (SendResult::MayHaveRun, SendCause::Retry)]
+    {
+        let mut harness = FetchHarness::new(1, true, 100.0);
+        harness.expect_send(0, SendCause::First);
+        let replica = harness.fetch.last_replica().to_owned();
+        harness.fetch.record_relay_failure(&replica, result);
+        harness.expect_send(0, cause);
+    }
+}
+
 #[test]
 fn one_hedge() {
     let mut harness = FetchHarness::new(3, true, 100.0);
--- a/crates/sassafrasproxy-gateway/src/gather.rs
+++ b/crates/sassafrasproxy-gateway/src/gather.rs
@@ -9,7 +9,8 @@
 use indexmap::IndexMap;
 use sassafrasproxy_core::{
     Fetch, FetchFailureReason, FetchPlan, FetchStep, GatherPlan, GatherStep, SendCause, SendId,
-    ServiceForecast, US_PER_MS, distribute_parts, merge_records, next_gather_step, select_shards,
+    SendResult, ServiceForecast, US_PER_MS, distribute_parts, merge_records, next_gather_step,
+    select_shards,
 };
 use sassafrasproxy_platform::CoverageSummary;
 use sassafrasproxy_wire::{GatherTarget, ReplicaEntry, Route};
@@ -18,7 +19,7 @@
 
 use crate::admission::{self, NeededReplicas};
 use crate::answer::{Answer, Refusal, merged_answer, refusal_answer};
-use crate::relay_call::{RelayCallSpec, RelayPartResult, start_relay_call};
+use crate::relay_call::{RelayCallSpec, RelayPartResult, RelayReport, start_relay_call};
 use crate::request::CallerRequest;
 use crate::traffic::TrafficState;
 use crate::upstream::{SendSpec, SendTasks, UpstreamResult, start_send};
@@ -41,6 +42,8 @@
 struct Shard {
     fetch: Fetch,
     state: ShardState,
+    /// Whether a relay has failed, so that this node sends to the replicas itself.
+    skips_relays: bool,
 }
 
 #[derive(Debug)]
@@ -77,13 +80,8 @@
 enum GatherEvent {
     /// A send that this node made for a shard has ended.
     SendFinished(usize, UpstreamResult),
-    /// A relay call has reported the results of some of its sends.
-    RelayReplied {
-        /// The results of the sends that have ended.
-        parts: Vec<RelayPartResult>,
-        /// The merged records of the answered parts.
-        records: Bytes,
-    },
+    /// A relay call has reported on some of its sends.
+    RelayReported(RelayReport),
 }
 
 /// A first send to a replica, to be made by this node or by a relay.
@@ -133,8 +131,15 @@
                 wake_us = wake_us.min(query.advance_shard(shard));
                 query.send_deferred();
             }
-            Ok(Some(GatherEvent::RelayReplied { parts, records })) => {
-                let shards = query.handle_relay_reply(parts, records);
+            Ok(Some(GatherEvent::RelayReported(report))) => {
+                let shards = match report {
+                    RelayReport::Replied { parts, records } => {
+                        query.handle_relay_reply(parts, records)
+                    }
+                    RelayReport::Failed { sends, result } => {
+                        query.handle_relay_failure(sends, result)
+                    }
+                };
                 let wake_times = shards.into_iter().map(|shard| query.advance_shard(shard));
                 wake_us = wake_times.min().unwrap_or(u64::MAX).min(wake_us);
                 query.send_deferred();
@@ -200,7 +205,11 @@
         let mut budget = traffic.retry_budget.borrow_mut();
         let shards = target.services.iter().map(|service| {
             budget.record_request(service, request.arrived_us);
-            Shard { fetch: Fetch::new(service.clone()), state: ShardState::Pending }
+            Shard {
+                fetch: Fetch::new(service.clone()),
+                state: ShardState::Pending,
+                skips_relays: false,
+            }
         });
         let shards = shards.collect();
         drop(budget);
@@ -282,7 +291,8 @@
         }
     }
 
-    /// Sends a hedge or retry directly, and defers a first send.
+    /// Sends a hedge or retry directly, also a first send whose relay has failed, and defers other
+    /// first sends.
     fn start_or_defer_send(
         &mut self,
         shard: usize,
@@ -294,8 +304,8 @@
         let Some(replica) = entry else { return };
         let send = DeferredSend { shard, replica, send_id };
         match cause {
-            SendCause::First => self.deferred.push(send),
-            SendCause::Hedge | SendCause::Retry => self.send_directly(send),
+            SendCause::First if !self.shards[shard].skips_relays => self.deferred.push(send),
+            SendCause::First | SendCause::Hedge | SendCause::Retry => self.send_directly(send),
         }
     }
 
@@ -393,11 +403,11 @@
             stall_after_us: self.fetch_plan.hedge_after_us,
         };
         let events = self.events.clone();
-        let on_reply = move |parts, records| {
-            // The channel is closed if the query was answered without this reply.
-            let _ = events.send(GatherEvent::RelayReplied { parts, records });
+        let on_report = move |report| {
+            // The channel is closed if the query was answered without this report.
+            let _ = events.send(GatherEvent::RelayReported(report));
         };
-        self.sends.push(start_relay_call(self.traffic, spec, on_reply));
+        self.sends.push(start_relay_call(self.traffic, spec, on_report));
     }
 
     /// Records the result of a send that this node made.
@@ -435,6 +445,20 @@
         shards
     }
 
+    /// Records the sends that a failed relay has not reported; returns their shards.
+    fn handle_relay_failure(
+        &mut self,
+        sends: Vec<(usize, EcoString)>,
+        result: SendResult,
+    ) -> Vec<usize> {
+        let shards = sends.iter().map(|(shard, _)| *shard).collect();
+        for (shard, replica) in sends {
+            self.shards[shard].fetch.record_relay_failure(&replica, result);
+            self.shards[shard].skips_relays = true;
+        }
+        shards
+    }
+
     fn has_stamp(&self, stamp: &EcoString) -> bool {
         self.batches.iter().flat_map(|batch| &batch.stamps).any(|(_, received)| received == stamp)
     }
--- a/crates/sassafrasproxy-gateway/src/relay_call.rs
+++ b/crates/sassafrasproxy-gateway/src/relay_call.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use sassafrasproxy_core::{ReportedLoad, SendId, SendOutcome, SendResult};
 use sassafrasproxy_wire::{RelayCall, RelayPart, RelayPartOutcome, ReplicaEntry};
+use thiserror::Error;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
@@ -56,12 +57,40 @@
     pub stamp: Option<EcoString>,
 }
 
-/// Starts a relay call in a task, which calls `on_reply` with results and merged records as they
+/// What a relay call tells its query.
+#[derive(Debug)]
+pub enum RelayReport {
+    /// The relay has replied.
+    Replied {
+        /// The results of the sends that have ended.
+        parts: Vec<RelayPartResult>,
+        /// The merged records of the answered parts.
+        records: Bytes,
+    },
+    /// The relay has failed, which says nothing of the replicas.
+    Failed {
+        /// The sends that it has not reported: shard and replica.
+        sends: Vec<(usize, EcoString)>,
+        /// The result for their fetches.
+        result: SendResult,
+    },
+}
+
+/// The reason for which a relay call ended before all sends were reported.
+#[derive(Debug, Error)]
+enum RelayCallError {
+    #[error("the relay was not reached: {0}")]
+    Unreached(eyre::Report),
+    #[error("the connection to the relay ended before all parts were reported")]
+    Ended,
+}
+
+/// Starts a relay call in a task, which calls `on_report` with results and merged records as they
 /// arrive.
 pub fn start_relay_call(
     traffic: &Rc<TrafficState>,
     spec: RelayCallSpec,
-    on_reply: impl Fn(Vec<RelayPartResult>, Bytes) + 'static,
+    on_report: impl Fn(RelayReport) + 'static,
 ) -> AbortHandle {
     let traffic = traffic.clone();
     spawn_local(async move {
@@ -84,29 +113,31 @@
         };
         let remaining_us = spec.deadline_us.saturating_sub(started_us);
         let limit = Duration::from_micros(remaining_us + REPLY_MARGIN_US);
-        let call = run_relay_call(&traffic, &spec, remaining_us, &mut pending_sends, &on_reply);
-        guard.outcome = match timeout(limit, call).await {
-            Ok(Ok(())) => SendOutcome::Answered,
+        let call = run_relay_call(&traffic, &spec, remaining_us, &mut pending_sends, &on_report);
+        let (outcome, result) = match timeout(limit, call).await {
+            Ok(Ok(())) => (SendOutcome::Answered, SendResult::Answered),
             Ok(Err(error)) => {
                 let (request, relay) = (&spec.request.attempt_id, &spec.relay);
                 log::info!(request:%, relay:%, error:%; "a relay call failed");
-                SendOutcome::Unreachable
+                let result = match error {
+                    RelayCallError::Unreached(_) => SendResult::Unsent,
+                    RelayCallError::Ended => SendResult::MayHaveRun,
+                };
+                (SendOutcome::Unreachable, result)
             }
-            Err(_) => SendOutcome::TimedOut,
+            Err(_) => (SendOutcome::TimedOut, SendResult::MayHaveRun),
         };
-        let may_have_run = guard.outcome == SendOutcome::TimedOut;
+        guard.outcome = outcome;
+        // The relay counts as failed before the query decides where to send next.
         drop(guard);
-        if pending_sends.is_empty() {
-            return;
-        }
-        // After a timeout, the replicas may have run the sends that the relay did not report.
-        let result = if may_have_run { SendResult::MayHaveRun } else { SendResult::Unsent };
-        let unreported = pending_sends.keys().map(|shard| RelayPartResult {
-            shard: *shard,
-            result,
-            stamp: None,
+        let unreported = spec.sends.into_iter().filter_map(|(shard, replica, _)| {
+            pending_sends.contains_key(&shard).then(|| (shard, replica.id.clone()))
         });
-        on_reply(unreported.collect(), Bytes::new());
+        let sends: Vec<(usize, EcoString)> = unreported.collect();
+        drop(pending_sends);
+        if !sends.is_empty() {
+            on_report(RelayReport::Failed { sends, result });
+        }
     })
     .abort_handle()
 }
@@ -132,21 +163,14 @@
     spec: &RelayCallSpec,
     remaining_us: u64,
     pending_sends: &mut IndexMap<usize, SendGuard>,
-    on_reply: &impl Fn(Vec<RelayPartResult>, Bytes),
-) -> eyre::Result<()> {
+    on_report: &impl Fn(RelayReport),
+) -> Result<(), RelayCallError> {
     let started_us = traffic.clock.now_us();
-    let mut call = traffic.relays.call(&spec.relay, build_relay_call(spec, remaining_us)).await?;
+    let call = traffic.relays.call(&spec.relay, build_relay_call(spec, remaining_us)).await;
+    let mut call = call.map_err(RelayCallError::Unreached)?;
     spec.request.mark_sent();
     while !pending_sends.is_empty() {
-        let Some(reply) = call.next_reply().await else {
-            // The connection ended after the call was sent, so the replicas may have run it.
-            let lost = pending_sends.drain(..).map(|(shard, guard)| {
-                guard.finish(SendOutcome::Cancelled, None);
-                RelayPartResult { shard, result: SendResult::MayHaveRun, stamp: None }
-            });
-            on_reply(lost.collect(), Bytes::new());
-            eyre::bail!("the connection to the relay ended before all parts were reported");
-        };
+        let reply = call.next_reply().await.ok_or(RelayCallError::Ended)?;
         let elapsed_us = traffic.clock.now_us() - started_us;
         traffic.relays.record_reply(&spec.relay, traffic.clock.now_us());
         let mut parts = Vec::with_capacity(reply.parts.len());
@@ -166,7 +190,7 @@
             }
             parts.push(RelayPartResult { shard: part.shard_index, result, stamp });
         }
-        on_reply(parts, Bytes::from(reply.record_batch));
+        on_report(RelayReport::Replied { parts, records: Bytes::from(reply.record_batch) });
     }
     call.finish();
     Ok(())
