Write the record of a crashing request again soon after a lost call

A request that crashes replicas is kept from them by nodes that start later only through its record in the store. If the store was silent as the record was written, it came up to 5 s after the silence, where nodes count as in touch after 4.

Cause: the next try of a write was due 5 s after the one before, though that is given up after 1.5 s, and the nodes' spread applied to the first try only. The next try comes after 2 s and this node's share of the spread, so that the bound holds with any phase of a call, and large fleets ask a store that is away less often. A write that has to make room gives up when its first call fails.

Before: gateway_outages quarantines_are_recorded_soon_after_outage and request_quarantine lost_writes_come_again fail.

--- a/crates/sassafrasproxy-cli/tests/gateway_outages.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_outages.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use sassafrasproxy_platform_standin::{FaultProxy, StoreMode};
+use sassafrasproxy_platform_standin::{FaultProxy, ReplicaMode, StoreMode};
 
 use crate::gateway::{Cluster, WAIT_TIMEOUT, routes_with};
 
@@ -211,3 +211,33 @@
     }
     assert_eq!(late, 0, "requests later than {DRAIN_TIME:?} after the removal");
 }
+
+/// Guards against a record of a crashing request that is late after an outage, so that nodes that
+/// start then send the request to replicas again.
+#[tokio::test(flavor = "multi_thread")]
+async fn quarantines_are_recorded_soon_after_outage() {
+    let cluster = Cluster::start(3).await;
+    cluster.set_modes(ReplicaMode::CrashingOn("poison"));
+    let mut late = Vec::new();
+    for (index, path) in ["/desk/poison-1", "/desk/poison-2"].into_iter().enumerate() {
+        cluster.store.set_mode(StoreMode::Unresponsive);
+        // The replicas that crashed before are back.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        for gateway in 0..2 {
+            assert_ne!(cluster.ask(gateway, path).await.status, 200);
+        }
+        tokio::time::sleep(Duration::from_millis(400 * index as u64)).await;
+        cluster.store.set_mode(StoreMode::Up);
+        let back = Instant::now();
+        while cluster.store.keys("sassafrasproxy/quarantine/").len() <= index {
+            assert!(back.elapsed() < WAIT_TIMEOUT, "no record of {path}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let took = back.elapsed();
+        println!("{path} recorded after {took:?}");
+        if took >= IN_TOUCH_AFTER {
+            late.push((path, took));
+        }
+    }
+    assert!(late.is_empty(), "path, recorded after: {late:?}");
+}
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/mod.rs
@@ -155,7 +155,7 @@
         let is_suspected =
             self.requests.get(&fingerprint).is_some_and(|tracked| tracked.report_count() > 0);
         if is_suspected {
-            self.refute(now_us, fingerprint, now_us);
+            self.refute(now_us, fingerprint, 0);
             self.recent_answers.announce(now_us, fingerprint);
         }
         is_suspected
@@ -182,7 +182,7 @@
     pub fn record_peer_answer(&mut self, now_us: u64, fingerprint: u64, write_delay_us: u64) {
         self.recent_answers.insert(now_us, fingerprint);
         self.recent_answers.announce(now_us, fingerprint);
-        self.refute(now_us, fingerprint, now_us + write_delay_us);
+        self.refute(now_us, fingerprint, write_delay_us);
     }
 
     /// Replaces the records of the store by the current ones.
@@ -207,7 +207,7 @@
             tracked.set_record(now_us, record, *revision, delay_us);
             // The record was on its way while the request was answered.
             if self.recent_answers.contains(now_us, *fingerprint) {
-                self.refuted_reports.insert(now_us, tracked.refute(now_us + delay_us));
+                self.refuted_reports.insert(now_us, tracked.refute(now_us, delay_us));
             }
         }
     }
@@ -292,9 +292,9 @@
         self.requests.values().filter(|tracked| tracked.is_quarantined()).count()
     }
 
-    fn refute(&mut self, now_us: u64, fingerprint: u64, removal_due_us: u64) {
+    fn refute(&mut self, now_us: u64, fingerprint: u64, removal_delay_us: u64) {
         let Some(tracked) = self.requests.get_mut(&fingerprint) else { return };
-        self.refuted_reports.insert(now_us, tracked.refute(removal_due_us));
+        self.refuted_reports.insert(now_us, tracked.refute(now_us, removal_delay_us));
         if tracked.is_empty() {
             self.requests.shift_remove(&fingerprint);
         }
--- a/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
+++ b/crates/sassafrasproxy-core/src/forward/callers/request_quarantine/tracked_request.rs
@@ -5,8 +5,11 @@
 use super::record::{FIRST_TRIAL_DELAY_US, QuarantineRecord, QuarantineWrite};
 use super::{MIN_CRASH_REPORTS, MIN_RECORDED_REPORTS, QuarantineDecision, REPORT_TTL_US};
 
-/// The time until another try to write a record to the store, in microseconds.
-const WRITE_RETRY_US: u64 = 5_000_000;
+/// The minimum time until another try to write a record to the store, in microseconds.
+///
+/// Longer than a call to the store may hang, and short enough for the next call to end before nodes
+/// must have caught up after an outage.
+const MIN_WRITE_RETRY_US: u64 = 2_000_000;
 
 /// The time after which this node asks the store again for a trial that another node may have got,
 /// in microseconds.
@@ -29,6 +32,9 @@
     record: Option<KnownRecord>,
     /// The time of the next write of the record, in microseconds; `None` if none is needed.
     write_due_us: Option<u64>,
+    /// The time for which this node waits for others to write first, also before another try, in
+    /// microseconds.
+    write_delay_us: u64,
 }
 
 #[derive(Debug)]
@@ -82,7 +88,7 @@
         let is_recordable =
             (MIN_RECORDED_REPORTS..=MIN_CRASH_REPORTS).contains(&self.report_count());
         if is_new && is_recordable {
-            self.bring_write_forward(now_us + write_delay_us);
+            self.bring_write_forward(now_us, write_delay_us);
         }
         is_new
     }
@@ -105,23 +111,30 @@
             return false;
         }
         self.is_quarantined = true;
-        self.bring_write_forward(now_us + write_delay_us);
+        self.bring_write_forward(now_us, write_delay_us);
         true
     }
 
-    fn bring_write_forward(&mut self, due_us: u64) {
-        self.write_due_us = Some(self.write_due_us.map_or(due_us, |known_us| known_us.min(due_us)));
+    fn bring_write_forward(&mut self, now_us: u64, delay_us: u64) {
+        if self.write_due_us.is_none_or(|known_us| now_us + delay_us < known_us) {
+            self.delay_write(now_us, delay_us);
+        }
+    }
+
+    fn delay_write(&mut self, from_us: u64, delay_us: u64) {
+        self.write_due_us = Some(from_us + delay_us);
+        self.write_delay_us = delay_us;
     }
 
     /// Drops the reports, as the request was answered, and returns their crash ids; the record, if
-    /// any, is to be removed at a time, in microseconds.
-    pub fn refute(&mut self, removal_due_us: u64) -> Vec<u64> {
+    /// any, is to be removed after a delay, in microseconds.
+    pub fn refute(&mut self, now_us: u64, removal_delay_us: u64) -> Vec<u64> {
         let crash_ids = self.expiries_us.drain(..).map(|(crash_id, _)| crash_id).collect();
         self.is_quarantined = false;
         self.write_due_us = None;
         if let Some(known) = &mut self.record {
             known.is_refuted = true;
-            self.write_due_us = Some(removal_due_us);
+            self.delay_write(now_us, removal_delay_us);
         }
         crash_ids
     }
@@ -151,13 +164,13 @@
             trial_due_us: trial_delay_us.map(|trial_us| now_us + trial_us + delay_us),
             has_trial,
         });
-        self.write_due_us = match (self.is_quarantined, record.is_quarantined) {
-            (true, true) => None,
+        match (self.is_quarantined, record.is_quarantined) {
+            (true, true) => self.write_due_us = None,
             // The record lacks a report that this node has.
-            (true, false) => Some(now_us + delay_us),
+            (true, false) => self.delay_write(now_us, delay_us),
             // A suspicion that nothing confirms is removed.
-            (false, _) => Some(now_us + REPORT_TTL_US + delay_us),
-        };
+            (false, _) => self.delay_write(now_us + REPORT_TTL_US, delay_us),
+        }
     }
 
     /// Forgets the record, which the store no longer has, and the reports from before its removal.
@@ -213,7 +226,7 @@
         if now_us < self.write_due_us? {
             return None;
         }
-        self.write_due_us = Some(now_us + WRITE_RETRY_US);
+        self.write_due_us = Some(now_us + MIN_WRITE_RETRY_US + self.write_delay_us);
         self.expire(now_us);
         let known = self.record.as_ref();
         let expected_revision = known.map_or(0, |known| known.revision);
--- a/crates/sassafrasproxy-core/tests/request_quarantine.rs
+++ b/crates/sassafrasproxy-core/tests/request_quarantine.rs
@@ -130,6 +130,26 @@
     assert_eq!(started.add_report(0, report(crashing, 2), 0), ReportStep::Quarantined);
 }
 
+/// Guards against a record that is late after an outage of the store, and against nodes that all try
+/// to write it again at once.
+#[test]
+fn lost_writes_come_again() {
+    let longest_call_us = 1_500_000;
+    let time_to_catch_up_us = 4_000_000;
+    for delay_us in [0, 500_000, 60 * SECOND_US] {
+        let crashing = fingerprint("/x/1");
+        let mut quarantine = RequestQuarantine::default();
+        (0..2).for_each(|attempt| {
+            quarantine.add_report(0, report(crashing, attempt), delay_us);
+        });
+        let taken_us = quarantine.next_write_us().unwrap();
+        assert_eq!(quarantine.take_due_writes(taken_us).len(), 1);
+        let pause_us = quarantine.next_write_us().unwrap() - taken_us;
+        assert!(pause_us >= delay_us + longest_call_us, "{pause_us}");
+        assert!(pause_us + longest_call_us <= delay_us + time_to_catch_up_us, "{pause_us}");
+    }
+}
+
 /// Guards against a trial by a record that an answer has refuted, of a request that has crashed
 /// three replicas since.
 #[test]
--- a/crates/sassafrasproxy-gateway/src/quarantine_store.rs
+++ b/crates/sassafrasproxy-gateway/src/quarantine_store.rs
@@ -64,7 +64,11 @@
             if current == 0
                 && let Some((displaced, revision)) = displaced_record(&records)
             {
-                remove(state, client, displaced.fingerprint, *revision).await;
+                let removed = remove(state, client, displaced.fingerprint, *revision).await;
+                // A store that does not answer would hold the next call up as long.
+                if removed == WriteOutcome::Failed {
+                    return WriteOutcome::Failed;
+                }
             }
             put(state, client, &record, expected_revision).await
         }
