Allow a whole answer to be read before its request is sent

Callers saw 502 for sound answers of more than 64 KiB, now and then, and the replica was avoided for it.

Cause: the bound on what a connection may read was raised from that of a head to that of the body by the task that had sent the request, once the head had reached it; the task that reads the connection does not wait for that, and went over the bound with its next read. Evidence: the log names the limit 'head'; the same bytes fail or not by the time between head and body alone.

Head and body are now allowed together before the request is sent, so that no order of tasks matters.

--- a/crates/sassafrasproxy-gateway/src/limited_stream.rs
+++ b/crates/sassafrasproxy-gateway/src/limited_stream.rs
@@ -37,14 +37,16 @@
 }
 
 impl ReadAllowance {
-    /// Allows the interim answers and the head of one answer to be read.
-    pub fn allow_head(&self) {
+    /// Allows little to be read, as no answer is due.
+    pub fn allow_no_answer(&self) {
         self.state.left_bytes.set(MAX_HEAD_BYTES);
     }
 
-    /// Allows a body of at most `max_bytes` to be read.
-    pub fn allow_body(&self, max_bytes: usize) {
-        let framed = max_bytes.saturating_mul(MAX_FRAMING_FACTOR);
+    /// Allows an answer to be read: interim answers, the head, and a body of at most `max_body_bytes`.
+    ///
+    /// The body may be on its way behind the head, so both are allowed before the request is sent.
+    pub fn allow_answer(&self, max_body_bytes: usize) {
+        let framed = max_body_bytes.saturating_mul(MAX_FRAMING_FACTOR);
         self.state.left_bytes.set(framed.saturating_add(MAX_HEAD_BYTES));
     }
 
