--- a/crates/sassafrasproxy-gateway/src/http_connection.rs
+++ b/crates/sassafrasproxy-gateway/src/http_connection.rs
@@ -27,7 +27,7 @@
     /// Returns an error if the connection is closed.
     pub async fn open(stream: TcpStream, address: SocketAddr) -> Result<Self, hyper::Error> {
         let allowance = ReadAllowance::default();
-        allowance.allow_no_answer();
+        allowance.allow_head();
         let stream = LimitedStream::new(stream, allowance.clone());
         let (sender, connection) =
             Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
@@ -52,13 +52,15 @@
         request: Request<Full<Bytes>>,
         max_body_bytes: usize,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.allowance.allow_answer(max_body_bytes);
-        self.sender.try_send_request(request).await
+        self.allowance.allow_head();
+        let response = self.sender.try_send_request(request).await?;
+        self.allowance.allow_body(max_body_bytes);
+        Ok(response)
     }
 
     /// Records that the answer is complete, so that little more may be read until the next request.
     pub fn end_answer(&self) {
-        self.allowance.allow_no_answer();
+        self.allowance.allow_head();
     }
 
     /// Returns whether the connection ended because more was sent than allowed.
--- a/crates/sassafrasproxy-gateway/src/limited_stream.rs
+++ b/crates/sassafrasproxy-gateway/src/limited_stream.rs
@@ -13,6 +13,11 @@
 /// The maximum size of what comes before a body, in bytes: interim answers and the head.
 pub const MAX_HEAD_BYTES: usize = 65_536;
 
+/// The maximum number of bytes that are read of a body before the task that asked for the answer has
+/// its head and allows the body: two reads, as the HTTP library then waits for that task, each into a
+/// buffer that may have grown to twice the size of a head.
+const MAX_AHEAD_BYTES: usize = 2 * 2 * MAX_HEAD_BYTES;
+
 /// The factor by which a body in chunks may be longer than what it carries.
 const MAX_FRAMING_FACTOR: usize = 2;
 
@@ -37,16 +42,14 @@
 }
 
 impl ReadAllowance {
-    /// Allows little to be read, as no answer is due.
-    pub fn allow_no_answer(&self) {
-        self.state.left_bytes.set(MAX_HEAD_BYTES);
+    /// Allows the interim answers and the head of one answer to be read.
+    pub fn allow_head(&self) {
+        self.state.left_bytes.set(MAX_HEAD_BYTES + MAX_AHEAD_BYTES);
     }
 
-    /// Allows an answer to be read: interim answers, the head, and a body of at most `max_body_bytes`.
-    ///
-    /// The body may be on its way behind the head, so both are allowed before the request is sent.
-    pub fn allow_answer(&self, max_body_bytes: usize) {
-        let framed = max_body_bytes.saturating_mul(MAX_FRAMING_FACTOR);
+    /// Allows a body of at most `max_bytes` to be read.
+    pub fn allow_body(&self, max_bytes: usize) {
+        let framed = max_bytes.saturating_mul(MAX_FRAMING_FACTOR);
         self.state.left_bytes.set(framed.saturating_add(MAX_HEAD_BYTES));
     }
 
