Close connections whose callers do not read their answers

Callers saw 502 from a node, for each request, for as long as a dozen other callers kept connections open without reading answers of 3 MiB: 108 of 108 and 110 of 110 queries of others in 3 s.

Cause: answers in flight count until they are delivered, and delivery had no bound in time; once complete answers hold all the room, the small ones of others are the largest being read and are given up. Evidence: the log names answers.max_in_flight_bytes for answers of 32 bytes, the process had 56 MB, and a query is served 8 ms after those callers close.

A connection now knows whether its caller takes anything.

--- a/crates/sassafrasproxy-core/src/forward/sending/answer_memory.rs
+++ b/crates/sassafrasproxy-core/src/forward/sending/answer_memory.rs
@@ -79,6 +79,12 @@
         id
     }
 
+    /// Whether an answer can take `bytes` in all while the others keep what they hold.
+    pub fn has_room(&self, id: AnswerId, bytes: usize) -> bool {
+        let held = self.reading.get(&id).copied().unwrap_or(0);
+        self.total_bytes - held + bytes <= self.limits.max_total_bytes
+    }
+
     /// Reserves memory for an answer that is being read, `bytes` in all.
     ///
     /// Must not be called for an answer that was dropped.
@@ -88,7 +94,7 @@
         }
         let held = self.reading.get(&id).copied().unwrap_or(0);
         let mut dropped = Vec::new();
-        while self.total_bytes - held + bytes > self.limits.max_total_bytes {
+        while !self.has_room(id, bytes) {
             let others = self.reading.iter().filter(|(other, _)| **other != id);
             let largest = others.max_by_key(|(_, held)| **held);
             let Some(largest) = largest.filter(|(_, held)| **held > bytes).map(|(id, _)| *id)
--- a/crates/sassafrasproxy-gateway/src/answer_body.rs
+++ b/crates/sassafrasproxy-gateway/src/answer_body.rs
@@ -1,15 +1,20 @@
 //! Reads the bodies of replicas' answers within the memory of the node.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use indexmap::IndexMap;
+use sassafrasproxy_clock::Clock;
 use sassafrasproxy_config::AnswerSettings;
-use sassafrasproxy_core::{AnswerId, AnswerLimits, AnswerMemory, AnswerRoom};
+use sassafrasproxy_core::{
+    AnswerId, AnswerLimits, AnswerMemory, AnswerRoom, DeliveryId, StalledDeliveries,
+};
 use thiserror::Error;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// The smallest memory that is reserved for a body whose length is not given, in bytes.
 const MIN_BODY_BYTES: usize = 1_024;
@@ -17,6 +22,11 @@
 /// The largest memory that is reserved for a body before its bytes arrive, in bytes.
 const MAX_ANNOUNCED_BYTES: usize = 65_536;
 
+/// The maximum time for which an answer waits for room that deliveries are given up for.
+///
+/// Their connections are closed by tasks of the same thread.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(20);
+
 /// The reason why a body could not be read.
 #[derive(Debug, Error)]
 pub enum BodyError {
@@ -43,7 +53,10 @@
 /// The memory of the answers of replicas, which is freed as they are delivered.
 #[derive(Debug, Clone)]
 pub struct AnswerStore {
+    clock: Clock,
     shared: Arc<Mutex<SharedMemory>>,
+    /// Notified when an answer has ended.
+    freed: Arc<Notify>,
 }
 
 #[derive(Debug)]
@@ -51,13 +64,65 @@
     memory: AnswerMemory,
     /// Notified when an answer that is being read is dropped for others.
     dropped: IndexMap<AnswerId, Arc<Notify>>,
+    stalled: StalledDeliveries,
+    /// Notified when a delivery is given up.
+    given_up: IndexMap<DeliveryId, Arc<Notify>>,
+    next_delivery: DeliveryId,
 }
 
 impl AnswerStore {
     /// Creates a store that holds nothing.
-    pub fn new(settings: AnswerSettings) -> Self {
-        let memory = AnswerMemory::new(answer_limits(settings));
-        Self { shared: Arc::new(Mutex::new(SharedMemory { memory, dropped: IndexMap::new() })) }
+    pub fn new(clock: Clock, settings: AnswerSettings) -> Self {
+        let shared = SharedMemory {
+            memory: AnswerMemory::new(answer_limits(settings)),
+            dropped: IndexMap::new(),
+            stalled: StalledDeliveries::default(),
+            given_up: IndexMap::new(),
+            next_delivery: 0,
+        };
+        Self { clock, shared: Arc::new(Mutex::new(shared)), freed: Arc::default() }
+    }
+
+    /// Adds a connection on which answers are delivered, until [`remove_delivery`](Self::remove_delivery).
+    ///
+    /// The returned notification comes when its answer is given up.
+    pub fn add_delivery(&self) -> (DeliveryId, Arc<Notify>) {
+        let mut shared = self.lock();
+        let id = shared.next_delivery;
+        shared.next_delivery += 1;
+        let given_up = Arc::new(Notify::new());
+        shared.given_up.insert(id, given_up.clone());
+        (id, given_up)
+    }
+
+    /// Removes a connection that has ended.
+    pub fn remove_delivery(&self, id: DeliveryId) {
+        let mut shared = self.lock();
+        shared.stalled.end_stall(id);
+        shared.given_up.swap_remove(&id);
+    }
+
+    /// Records whether the caller of a connection takes nothing at this moment.
+    pub fn record_stall(&self, id: DeliveryId, is_stalled: bool) {
+        let now_us = self.clock.now_us();
+        let mut shared = self.lock();
+        if is_stalled {
+            shared.stalled.record_stall(now_us, id);
+        } else {
+            shared.stalled.end_stall(id);
+        }
+    }
+
+    /// Gives up the deliveries that stall if an answer finds no room; returns whether there are any.
+    fn give_up_stalled(&self, id: AnswerId, bytes: usize) -> bool {
+        let now_us = self.clock.now_us();
+        let shared = self.lock();
+        if shared.memory.has_room(id, bytes) {
+            return false;
+        }
+        let overdue = shared.stalled.overdue(now_us);
+        overdue.iter().filter_map(|id| shared.given_up.get(id)).for_each(|up| up.notify_one());
+        !overdue.is_empty()
     }
 
     /// Applies changed settings.
@@ -82,7 +147,7 @@
         let mut held = HeldBody::begin(self);
         match announced.map(usize::try_from) {
             Some(Ok(bytes)) if bytes <= self.limits().max_answer_bytes => {
-                held.reserve(bytes.min(MAX_ANNOUNCED_BYTES))?;
+                held.reserve(bytes.min(MAX_ANNOUNCED_BYTES)).await?;
             }
             Some(_) => return Err(self.too_large()),
             None => {}
@@ -96,7 +161,7 @@
             };
             let Some(frame) = frame else { return Ok(held.complete()) };
             if let Ok(data) = frame?.into_data() {
-                held.append(&data)?;
+                held.append(&data).await?;
             }
         }
     }
@@ -134,19 +199,34 @@
         Self { store: store.clone(), id, dropped, bytes: Vec::new() }
     }
 
-    fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
+    async fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
         let needed = self.bytes.len() + data.len();
         if needed > self.bytes.capacity() {
             let max_bytes = self.store.limits().max_answer_bytes;
             let doubled = self.bytes.capacity().saturating_mul(2).max(MIN_BODY_BYTES);
-            self.reserve(doubled.min(max_bytes).max(needed))?;
+            self.reserve(doubled.min(max_bytes).max(needed)).await?;
         }
         self.bytes.extend_from_slice(data);
         Ok(())
     }
 
+    /// Waits for a moment for room if other answers are given up for it.
+    async fn await_room(&self, capacity: usize) {
+        if !self.store.give_up_stalled(self.id, capacity) {
+            return;
+        }
+        let has_room = async {
+            while !self.store.lock().memory.has_room(self.id, capacity) {
+                self.store.freed.notified().await;
+            }
+        };
+        // Without room in time, the answers that are being read make it.
+        let _ = timeout(MAX_ROOM_WAIT, has_room).await;
+    }
+
     /// Reserves memory, `capacity` bytes in all.
-    fn reserve(&mut self, capacity: usize) -> Result<(), BodyError> {
+    async fn reserve(&mut self, capacity: usize) -> Result<(), BodyError> {
+        self.await_room(capacity).await;
         let mut shared = self.store.lock();
         let room = shared.memory.reserve(self.id, capacity);
         let (dropped, is_granted) = match room {
@@ -191,6 +271,8 @@
         let mut shared = self.store.lock();
         shared.memory.end(self.id);
         shared.dropped.swap_remove(&self.id);
+        drop(shared);
+        self.store.freed.notify_waiters();
     }
 }
 
--- a/crates/sassafrasproxy-gateway/src/lib.rs
+++ b/crates/sassafrasproxy-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection_pool;
 mod control;
 mod crash_check;
+mod delivery;
 mod directory;
 mod gateway;
 mod gather;
--- a/crates/sassafrasproxy-gateway/src/listener.rs
+++ b/crates/sassafrasproxy-gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::answer::Answer;
+use crate::delivery::{Delivery, DeliveryStream};
 use crate::shutdown::OpenConnectionGuard;
 use crate::traffic::TrafficState;
 
@@ -55,10 +57,11 @@
             _ = stopping.wait_for(|is_stopping| *is_stopping) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 let limits = limits(&traffic);
                 let stopping = stopping.clone();
-                spawn_local(serve_connection(stream, traffic.clone(), limits, serve, stopping));
+                let connection = CallerConnection { stream, caller };
+                spawn_local(serve_connection(connection, traffic.clone(), limits, serve, stopping));
             }
             Err(error) => {
                 log::warn!(error:%; "failed to accept a connection; retrying");
@@ -68,8 +71,14 @@
     }
 }
 
-async fn serve_connection<F, S>(
+/// A connection with the address of its other end.
+struct CallerConnection {
     stream: TcpStream,
+    caller: SocketAddr,
+}
+
+async fn serve_connection<F, S>(
+    CallerConnection { stream, caller }: CallerConnection,
     traffic: Rc<TrafficState>,
     limits: ConnectionLimits,
     serve: S,
@@ -82,6 +91,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "failed to set TCP_NODELAY on a connection");
     }
+    let delivery = Rc::new(Delivery::new(&traffic.answer_store));
+    let stream = DeliveryStream::new(stream, delivery.clone());
     let is_first = Cell::new(true);
     let service = service_fn(move |mut request: Request<Incoming>| {
         if is_first.replace(false) {
@@ -95,15 +106,24 @@
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        _ = stopping.wait_for(|is_stopping| *is_stopping) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            _ = stopping.wait_for(|is_stopping| *is_stopping) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
-    if let Err(error) = result {
-        log::debug!(error:%; "a connection ended with an error");
+    tokio::select! {
+        result = served => {
+            if let Err(error) = result {
+                log::debug!(error:%; "a connection ended with an error");
+            }
+        }
+        () = delivery.wait_until_given_up(limits.idle_timeout) => {
+            log::info!(caller:% = caller; "closed the connection of a caller that does not read its answer");
+        }
     }
 }
 
--- a/crates/sassafrasproxy-gateway/src/traffic.rs
+++ b/crates/sassafrasproxy-gateway/src/traffic.rs
@@ -117,7 +117,7 @@
             relays: RelayPool::new(&settings),
             admission: AdmissionQueue::new(settings.admission),
             connections: RefCell::default(),
-            answer_store: AnswerStore::new(settings.answers),
+            answer_store: AnswerStore::new(clock, settings.answers),
             settings: RefCell::new(settings),
             preconnects: RefCell::default(),
             metrics,
