--- a/crates/sassafrasproxy-cli/tests/gateway_large_answers.rs
+++ b/crates/sassafrasproxy-cli/tests/gateway_large_answers.rs
@@ -5,7 +5,6 @@
 mod gateway;
 
 use sassafrasproxy_platform_standin::StoreStandIn;
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -17,18 +16,7 @@
 /// Starts a replica of the service `desk` that writes the head of each answer, and then the body.
 async fn start_replica(store: &StoreStandIn, id: &str) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let entry = json!({
-        "service": "desk",
-        "address": listener.local_addr().unwrap(),
-        "zone": "west",
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "warmup_left_ms": 0,
-        "sequence": 1,
-        "born": 1_700_000_000_000u64,
-    });
-    store.put(&format!("servers/{id}"), entry.to_string());
+    store.put_replica(id, "desk", "west", listener.local_addr().unwrap());
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(serve(stream));
