--- a/review/standin-2/crashing_request.rs
+++ b/review/standin-2/crashing_request.rs
@@ -32,6 +32,10 @@
 const LEAVE_AFTER: Duration = Duration::from_millis(100);
 const DEADLINE: Duration = Duration::from_millis(1_500);
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// How long clients leave early at a time, and from one such spell to the next; the request comes
+/// in these spells only.
+const SPELL: Duration = Duration::from_secs(8);
+const SPELL_INTERVAL: Duration = Duration::from_secs(12);
 const RUN_TIME: Duration = Duration::from_secs(60);
 /// How often all gateways are killed.
 const LIVES: usize = 11;
@@ -180,15 +184,15 @@
 }
 
 fn configuration(scenario: Scenario) -> String {
-    let kind = match scenario {
-        Scenario::CallersLeave => "idempotent",
+    let max_attempts = match scenario {
+        Scenario::CallersLeave => 2,
         // Each attempt is one send.
-        Scenario::FleetIsKilled => "non_idempotent",
+        Scenario::FleetIsKilled => 1,
     };
     format!(
         r#"{{"version":3,"routes":[{{"name":"r-sku","host":"{HOST}","prefix":"/sku/",
-        "route_type":"{kind}","timeout_ms":1500,"latency_goal_ms":250,"priority":2,
-        "service":"reorder-line","max_attempts":2}}],"services":[{{"name":"reorder-line",
+        "route_type":"idempotent","timeout_ms":1500,"latency_goal_ms":250,"priority":2,
+        "service":"reorder-line","max_attempts":{max_attempts}}}],"services":[{{"name":"reorder-line",
         "health_path":"/health","max_connections":110,"protocol":"h1","tls":false,"warmup_s":3.0,
         "warmup_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,
         "header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
@@ -373,6 +377,12 @@
         if started.elapsed() > RUN_TIME {
             return;
         }
+        let spell_ms = started.elapsed().as_millis() % SPELL_INTERVAL.as_millis();
+        // The last request of a spell ends in it.
+        if spell_ms + LEAVE_AFTER.as_millis() > SPELL.as_millis() {
+            sleep(Duration::from_millis(50));
+            continue;
+        }
         let attempt = format!("c0{count:014x}");
         let index = (5 * count) % gateways.len();
         record.write(&format!("attempt {attempt} of {CRASH_PATH} is sent to gateway {index}"));
